--- /dev/null
+++ b/burlloom/choice.py
@@ -0,0 +1,542 @@
+"""The decisions of one server: what it takes, starts, turns away and calls.
+
+A host makes one `Choice` for each life of a server, calls `begin`, and from then on hands it each thing
+that happens, in order and with the time: `arrived`, `ended`, `at_call`, `call_ended`, `left`, `leaving`
+and `woke`. Each acts at once through `interface.Effects`; the types are in `interface.py`, the reasons in
+`docs/design.md`. Read TABLE first: a txn in a state meets an input; the first row whose tests all hold
+moves it and has its effect. Tests and effects are the methods of `Choice` that have their names.
+"""
+
+from collections import OrderedDict
+from enum import IntEnum
+from random import Random
+
+from .interface import Effects, FreeValue, Gauges, Outcome, Repeatable, ServerFacts, Txn
+
+MS = 1_000_000
+ROUND = 100 * MS  # between timer rounds
+JOSTLE = 200 * MS  # a held txn older than this may be ousted
+MARGIN = 20 * MS  # an answer's way out
+CUT = 0.7  # what is left of the run limit after a cut
+IDLE_USE = 0.9  # cores used less than this are idle
+HOLD_SHARE = 0.25  # of memory, for the hold
+MEMORY_SHARE = 0.97  # of memory, for everything
+CROWD_SHARE = 0.85  # of the crowd that kills
+STALL = 1000 * MS  # no run moves for this long: work hangs
+GAP = 3 * ROUND  # no event for this long: the process stood still
+EARLY = 0.7  # of the mean run time, as what a txn still needs: runs spread widely
+BREAK_AFTER = 5  # calls failed in a row until calling stops
+TRIAL = 500 * MS  # from one single trial of a call to the next
+AILING_MIN = 6  # ended runs before their failures count as a sign
+PRESS_UP, PRESS_DOWN = 0.06, 0.03  # a round's step of pressure
+ROOMY = 4.0  # allowance at no pressure, over the run limit
+
+NEVER = 1 << 62
+PROVES_UNRUN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
+
+State = IntEnum("State", "NEW HELD RUN DOOR CALL TAIL COPY RAN GONE", start=0)
+Input = IntEnum("Input", "READ PICK OUST LATE DUE LEFT NEEDS GRANT SKIP BACK BROKE END MOOT", start=0)
+
+TABLE = """
+NEW   READ   ran_before past           GONE  give_up
+NEW   READ   ran_before no_copy_room   GONE  give_up
+NEW   READ   ran_before                COPY  copy
+NEW   READ   unwanted                  GONE  turn_away
+NEW   READ   no_entry                  GONE  turn_away
+NEW   READ   full                      GONE  exceed
+NEW   READ   -                         HELD  hold
+HELD  PICK   late                      GONE  turn_away
+HELD  PICK   -                         RUN   start
+HELD  OUST   -                         GONE  overwrite
+HELD  LATE   -                         GONE  turn_away
+HELD  DUE    -                         GONE  turn_away
+HELD  LEFT   -                         GONE  drop
+RUN   NEEDS  -                         DOOR  queue
+RUN   DUE    -                         TAIL  give_up
+RUN   LEFT   -                         TAIL  nothing
+RUN   END    -                         RAN   finish
+RUN   MOOT   -                         GONE  drop
+DOOR  GRANT  -                         CALL  dial
+DOOR  SKIP   -                         RUN   leave_out
+DOOR  DUE    -                         TAIL  give_up
+DOOR  LEFT   -                         TAIL  nothing
+DOOR  END    -                         RAN   finish
+CALL  BACK   -                         RUN   nothing
+CALL  BROKE  may_repeat                DOOR  queue
+CALL  BROKE  can_skip                  RUN   leave_out
+CALL  BROKE  -                         TAIL  give_up
+CALL  DUE    -                         TAIL  abandon
+CALL  LEFT   -                         TAIL  linger
+CALL  END    -                         RAN   finish
+TAIL  END    -                         RAN   nothing
+TAIL  MOOT   -                         GONE  drop
+COPY  END    -                         RAN   nothing
+COPY  MOOT   -                         GONE  nothing
+COPY  DUE    -                         GONE  give_up
+COPY  LEFT   -                         GONE  nothing
+"""
+
+
+class Ring:
+    """What was added over the last `span`, in buckets of time that are used again in turn."""
+
+    def __init__(self, span: int, buckets: int = 10) -> None:
+        self.width = span // buckets
+        self.sums = [0.0] * buckets
+        self.last = 0
+
+    def total(self, now: int) -> float:
+        bucket = now // self.width
+        for old in range(max(self.last, bucket - len(self.sums)) + 1, bucket + 1):
+            self.sums[old % len(self.sums)] = 0.0
+        self.last = max(self.last, bucket)
+        return sum(self.sums)
+
+    def add(self, now: int, amount: float) -> None:
+        self.total(now)
+        self.sums[self.last % len(self.sums)] += amount
+
+
+class Case:
+    """A txn and where it stands."""
+
+    __slots__ = ("txn", "state", "arrived", "wanted", "due", "since", "kept", "over", "heir", "outcome")
+
+    def __init__(self, txn: Txn, now: int, facts: ServerFacts) -> None:
+        product = facts.products[txn.product]
+        self.txn = txn
+        self.state = State.NEW
+        self.arrived = now - txn.unread
+        self.due = max(now, txn.expiry_at or self.arrived + product.expiry)
+        sla_at = min(self.due, self.arrived + product.sla + int(product.sla_stretch * txn.cost))
+        self.wanted = self.due if product.late_share else sla_at
+        self.since = 0
+        self.kept = 0
+        self.over = 0
+        self.heir: Case | None = None
+        self.outcome = Outcome.OK
+
+
+class Choice:
+    def __init__(self, facts: ServerFacts, seed: int, effects: Effects, now: int) -> None:
+        self.facts, self.do, self.now = facts, effects, now
+        self.chance = Random(seed).random
+        self.born = now
+        self.limit = float(facts.cores)
+        self.weight = [1.0, 1.0] + [facts.run_factor] * 5 + [0.0, 0.0]
+        self.count = [0] * len(State)
+        self.cases: dict[int, Case] = {}
+        self.live: dict[int, Case] = {}
+        self.hold_list: OrderedDict[int, Case] = OrderedDict()
+        self.door: OrderedDict[int, Case] = OrderedDict()
+        self.spent: list[Case] = []
+        self.kb = self.held_kb = 0.0
+        self.keys = 0
+        self.overwritten = self.exceeded = 0
+        self.slept, self.moved = 0, now
+        self.stop, self.last_arrival = NEVER, NEVER
+        self.good, self.press, self.told = True, 0.0, -1.0
+        self.lingering: list[int] = []
+        self.broken, self.trial_at, self.timeouts = 0, 0, 0
+        self.in_hand = Ring(max(facts.calls_span, 10))
+        self.took = [(Ring(5000 * MS), Ring(5000 * MS)) for _ in facts.products]
+        self.ends, self.bad_ends = Ring(2000 * MS), Ring(2000 * MS)
+        self.read, self.turned = Ring(1000 * MS), Ring(1000 * MS)
+        self.customers = [Ring(2000 * MS) for _ in facts.customer_rates]
+
+    # What the host calls.
+
+    def begin(self, now: int) -> None:
+        self.do.health(True)
+        self.do.wake(ROUND, 0)
+
+    def arrived(self, now: int, txn: Txn) -> None:
+        self.tick(now)
+        case = self.cases[txn.ref] = self.live[txn.ref] = Case(txn, now, self.facts)
+        self.count[State.NEW] += 1
+        self.kb += txn.kb
+        self.read.add(now, 1)
+        if self.customers:
+            self.customers[txn.customer].add(now, 1)
+        self.feed(case, Input.READ)
+        self.advance()
+
+    def ended(self, now: int, ref: int, outcome: Outcome, took: int) -> None:
+        self.tick(now)
+        case = self.cases.get(ref)
+        if case is None:
+            return
+        if case.state in (State.RUN, State.DOOR, State.CALL) and outcome in (Outcome.OK, Outcome.FAILED):
+            self.ends.add(now, 1)
+            self.bad_ends.add(now, outcome is Outcome.FAILED)
+        if case.state == State.RUN and outcome is Outcome.OK:
+            times, costs = self.took[case.txn.product]
+            times.add(now, took)
+            costs.add(now, case.txn.cost or 1)
+        case.outcome = outcome
+        self.moved = now
+        self.feed(case, Input.MOOT if outcome is Outcome.MOOT else Input.END)
+        self.advance()
+
+    def at_call(self, now: int, ref: int) -> None:
+        self.meet(now, ref, Input.NEEDS)
+
+    def left(self, now: int, ref: int) -> None:
+        self.meet(now, ref, Input.LEFT)
+
+    def call_ended(self, now: int, ref: int, outcome: Outcome, took: int) -> None:
+        case = self.cases.get(ref)
+        if case is not None and case.state == State.CALL:
+            case.outcome = outcome
+            self.broken = 0 if outcome is Outcome.OK else self.broken + 1
+            self.trial_at = now + TRIAL
+            if outcome is Outcome.TIMED_OUT:
+                self.timeouts += 1
+                self.lingering.append(now + self.facts.linger)
+        self.meet(now, ref, Input.BACK if outcome is Outcome.OK else Input.BROKE)
+
+    def leaving(self, now: int, stop: int) -> None:
+        self.tick(now)
+        self.stop, self.last_arrival = stop, now + self.facts.grace
+        self.set_health(False)
+        self.advance()
+
+    def woke(self, now: int, handle: int, gauges: Gauges) -> None:
+        self.tick(now)
+        self.do.wake(ROUND, handle)
+        for case in list(self.live.values()):
+            if case.state != State.TAIL and min(case.due, self.stop) <= now + ROUND + MARGIN:
+                self.feed(case, Input.DUE)
+            elif case.state == State.HELD and self.late(case):
+                self.feed(case, Input.LATE)
+            elif case.state == State.DOOR and self.can_skip(case) and (self.broken >= BREAK_AFTER
+                                                                       or self.late(case)):
+                self.feed(case, Input.SKIP)
+        self.clear(now)
+        self.pace(gauges)
+        self.signal()
+        self.advance()
+
+    # The loop.
+
+    def tick(self, now: int) -> None:
+        # A pause of the whole process lets every held txn look stale though no newcomer waited longer:
+        # the part of a gap that no timer round explains is left out of their ages.
+        if now - self.now > GAP:
+            self.slept += now - self.now - ROUND
+            self.moved += now - self.now - ROUND
+        self.in_hand.add(now, (now - self.now) * (self.count[State.CALL] + len(self.lingering)))
+        self.now = now
+
+    def meet(self, now: int, ref: int, what: Input) -> None:
+        self.tick(now)
+        case = self.cases.get(ref)
+        if case is not None:
+            if what != Input.LEFT:
+                self.moved = now
+            self.feed(case, what)
+            self.advance()
+
+    def feed(self, case: Case, what: Input) -> None:
+        for tests, state, effect in RULES.get((case.state, what), ()):
+            if all(test(self, case) for test in tests):
+                self.move(case, state)
+                effect(self, case)
+                return
+
+    def move(self, case: Case, state: State) -> None:
+        old, case.state = case.state, state
+        self.count[old] -= 1
+        self.count[state] += 1
+        self.kb += (self.weight[state] - self.weight[old]) * case.txn.kb
+        if old == State.HELD:
+            del self.hold_list[case.txn.ref]
+            self.held_kb -= case.txn.kb
+        elif old == State.DOOR:
+            del self.door[case.txn.ref]
+        if state in (State.RAN, State.GONE):
+            case.over = self.now
+            del self.live[case.txn.ref]
+            self.spent.append(case)
+
+    def advance(self) -> None:
+        """Fills what has come free: call slots first, then run slots from the newest held."""
+        while self.door and self.may_call():
+            self.feed(next(iter(self.door.values())), Input.GRANT)
+        while self.hold_list and self.running() < self.limit and self.started() < self.ceiling():
+            newest = self.hold_list[next(reversed(self.hold_list))]
+            if not self.fits(newest.txn.kb * (self.facts.run_factor - 1)):
+                break
+            self.feed(newest, Input.PICK)
+
+    # Measures.
+
+    def started(self) -> int:
+        count = self.count
+        return count[State.RUN] + count[State.DOOR] + count[State.CALL] + count[State.TAIL] + count[State.COPY]
+
+    def running(self) -> int:
+        """Those at a call leave the count, up to as many as there are cores: all may come back at once."""
+        away = self.count[State.DOOR] + self.count[State.CALL]
+        return self.count[State.RUN] + self.count[State.TAIL] + max(0, away - self.facts.cores)
+
+    def warmth(self) -> float:
+        facts = self.facts
+        if not facts.cold:
+            return 1.0
+        return min(1.0, facts.cold_from + (1 - facts.cold_from) * (self.now - self.born) / facts.warm_up)
+
+    def ceiling(self) -> float:
+        """Counts all that has started, as if all calls and disks came back together."""
+        return CROWD_SHARE * (1 + (self.facts.crowd - 1) * self.warmth()) * self.facts.cores
+
+    def fits(self, kb: float) -> bool:
+        return self.kb + self.keys * self.facts.key_kb + kb <= MEMORY_SHARE * self.facts.memory_kb
+
+    def needs(self, case: Case) -> float:
+        times, costs = self.took[case.txn.product]
+        cost = costs.total(self.now)
+        return times.total(self.now) / cost * (case.txn.cost or 1) if cost else 0.0
+
+    def oldest(self) -> Case | None:
+        return next(iter(self.hold_list.values()), None)
+
+    def stale(self, case: Case) -> bool:
+        return self.now - self.slept - case.since > JOSTLE
+
+    def hung(self) -> bool:
+        return self.count[State.RUN] + self.count[State.TAIL] > 0 and self.now - self.moved > STALL
+
+    def ailing(self) -> float:
+        ends = self.ends.total(self.now)
+        return self.bad_ends.total(self.now) / ends if ends >= AILING_MIN else 0.0
+
+    def calls_in_hand(self) -> int:
+        self.lingering = [until for until in self.lingering if until > self.now]
+        return self.count[State.CALL] + len(self.lingering)
+
+    def forerunner(self, case: Case) -> Case | None:
+        """The try that now stands for this one's effect: a batch may name one that was since replaced."""
+        first = self.cases.get(case.txn.repeat_of)
+        while first is not None and first.heir is not None:
+            first = first.heir
+        return first
+
+    # Tests.
+
+    def past(self, case: Case) -> bool:
+        return min(case.due, self.stop) <= self.now + ROUND + MARGIN
+
+    def ran_before(self, case: Case) -> bool:
+        first = self.forerunner(case)
+        if first is None:
+            return case.txn.repeat_of != -1
+        if first.state == State.HELD:
+            return self.facts.products[case.txn.product].repeatable is Repeatable.INQUIRY
+        return first.state != State.GONE
+
+    def no_copy_room(self, case: Case) -> bool:
+        return self.started() >= self.ceiling() or not self.fits(case.txn.kb * (self.facts.run_factor - 1))
+
+    def late(self, case: Case) -> bool:
+        return self.now + EARLY * self.needs(case) + MARGIN > min(case.wanted, self.stop)
+
+    def unwanted(self, case: Case) -> bool:
+        return (case.arrived > self.last_arrival or self.past(case) or self.late(case) or self.hung()
+                or self.over_share(case) or self.chance() < self.ailing())
+
+    def over_share(self, case: Case) -> bool:
+        # Against one customer that crowds out the others; it may harm where callers spread unevenly.
+        if not self.customers or self.press <= 0:
+            return False
+        share = self.facts.customer_rates[case.txn.customer] / self.facts.servers
+        return self.customers[case.txn.customer].total(self.now) > 2 * share
+
+    def no_entry(self, case: Case) -> bool:
+        product = self.facts.products[case.txn.product]
+        if product.repeatable is not Repeatable.REFERENCED:
+            return False
+        reserve = self.facts.cores * self.facts.run_factor * case.txn.kb
+        return case.arrived + product.window <= self.now or not self.fits(self.facts.key_kb + reserve)
+
+    def full(self, case: Case) -> bool:
+        if not self.crammed(case):
+            return False
+        oldest = self.oldest()
+        first = self.forerunner(case)
+        if first is not None and first.state == State.HELD:
+            return False
+        return oldest is None or not self.stale(oldest) or not self.fits(-oldest.txn.kb)
+
+    def crammed(self, case: Case) -> bool:
+        if not self.fits(0):
+            return True
+        return (len(self.hold_list) >= self.limit
+                and self.held_kb + case.txn.kb > HOLD_SHARE * self.facts.memory_kb)
+
+    def may_call(self) -> bool:
+        if self.broken >= BREAK_AFTER and (self.now < self.trial_at or self.count[State.CALL]):
+            return False
+        share = self.facts.calls_share
+        if not share:
+            return True
+        room = share * self.facts.calls_span - self.in_hand.total(self.now)
+        return self.calls_in_hand() < max(1, int(share)) and (share >= 1 or room > 2 * self.facts.linger)
+
+    def may_repeat(self, case: Case) -> bool:
+        if self.past(case):
+            return False
+        inquiry = self.facts.products[case.txn.product].repeatable is Repeatable.INQUIRY
+        return inquiry or case.outcome in PROVES_UNRUN
+
+    def can_skip(self, case: Case) -> bool:
+        return self.facts.products[case.txn.product].skip_share > 0
+
+    # Effects.
+
+    def nothing(self, case: Case) -> None:
+        pass
+
+    def hold(self, case: Case) -> None:
+        first = self.forerunner(case)
+        if first is not None:
+            if first.state == State.HELD:
+                self.feed(first, Input.OUST)
+            first.heir = case
+        elif self.crammed(case):
+            oldest = self.oldest()
+            if oldest is not None:
+                self.feed(oldest, Input.OUST)
+        case.since = self.now - self.slept
+        self.hold_list[case.txn.ref] = case
+        self.held_kb += case.txn.kb
+        product = self.facts.products[case.txn.product]
+        if product.repeatable is Repeatable.REFERENCED:
+            self.keep(case, case.arrived + product.window)
+        elif self.facts.fresh and product.repeatable is Repeatable.INQUIRY and self.fits(self.facts.key_kb):
+            self.keep(case, case.due)
+
+    def keep(self, case: Case, until: int) -> None:
+        self.keys += not case.kept
+        case.kept = until
+        self.do.keep(case.txn.ref, until - self.now)
+
+    def drop(self, case: Case) -> None:
+        if case.kept:
+            self.do.forget(case.txn.ref)
+            self.keys -= 1
+            case.kept = 0
+
+    def turn_away(self, case: Case) -> None:
+        self.drop(case)
+        self.turned.add(self.now, 1)
+        away = self.turned.total(self.now) / max(1.0, self.read.total(self.now))
+        if self.stop < NEVER or self.hung():
+            away = 1.0
+        self.do.decline(case.txn.ref, int(min(1.0, away) * self.facts.advice_max), False)
+
+    def overwrite(self, case: Case) -> None:
+        self.overwritten += 1
+        self.turn_away(case)
+
+    def exceed(self, case: Case) -> None:
+        self.exceeded += 1
+        self.turn_away(case)
+
+    def give_up(self, case: Case) -> None:
+        self.do.void(case.txn.ref)
+
+    def abandon(self, case: Case) -> None:
+        self.linger(case)
+        self.do.void(case.txn.ref)
+
+    def linger(self, case: Case) -> None:
+        self.lingering.append(self.now + self.facts.linger)
+
+    def start(self, case: Case) -> None:
+        if self.running() <= 1:
+            self.moved = self.now
+        self.do.start(case.txn.ref)
+
+    def finish(self, case: Case) -> None:
+        if case.kept and self.facts.fresh and (
+                self.facts.products[case.txn.product].repeatable is Repeatable.INQUIRY):
+            self.keep(case, self.now + self.facts.fresh)
+
+    def copy(self, case: Case) -> None:
+        self.do.reuse(case.txn.ref)
+
+    def queue(self, case: Case) -> None:
+        self.door[case.txn.ref] = case
+
+    def dial(self, case: Case) -> None:
+        stop = min(case.due, self.stop) - ROUND
+        if self.facts.calls_share and self.facts.calls_share < 1:
+            room = self.facts.calls_share * self.facts.calls_span - self.in_hand.total(self.now)
+            stop = min(stop, self.now + int(room) - self.facts.linger)
+        self.do.call(case.txn.ref, max(stop, self.now + MS))
+
+    def leave_out(self, case: Case) -> None:
+        self.do.leave_out(case.txn.ref)
+
+    # Timer rounds.
+
+    def clear(self, now: int) -> None:
+        rest = []
+        for case in self.spent:
+            if case.kept > now or case.over == now:
+                rest.append(case)
+            else:
+                self.keys -= bool(case.kept)
+                del self.cases[case.txn.ref]
+                self.do.release(case.txn.ref)
+        self.spent = rest
+
+    def pace(self, gauges: Gauges) -> None:
+        oldest = self.oldest()
+        if oldest is None:
+            waiting = False
+        else:
+            waiting = self.stale(oldest)
+            if 0 <= gauges.core_use < IDLE_USE:
+                self.limit += 1
+            elif waiting or self.timeouts:
+                self.limit *= CUT
+        self.timeouts = 0
+        self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
+        self.press = min(1.0, self.press + PRESS_UP) if waiting else max(0.0, self.press - PRESS_DOWN)
+
+    def set_health(self, good: bool) -> None:
+        if good != self.good:
+            self.good = good
+            self.do.health(good)
+
+    def signal(self) -> None:
+        self.set_health(self.stop == NEVER and not self.hung() and self.ailing() < 0.5)
+        facts = self.facts
+        if facts.free_value is FreeValue.FLOOR:
+            # never so high that nothing of the highest value would be sent
+            value = self.press * (1 - 1 / len({product.value for product in facts.products}))
+        elif facts.free_value is FreeValue.WEIGHT:
+            value = 1 - self.press
+        elif facts.free_value is FreeValue.ALLOWANCE:
+            value = self.limit * (1 + ROOMY * (1 - self.press)) / max(1, facts.callers)
+        else:
+            return
+        if abs(value - self.told) > 0.01:
+            self.told = value
+            self.do.tell(value)
+
+
+def _rules() -> dict:
+    rules: dict = {}
+    for row in TABLE.split("\n"):
+        if row:
+            state, what, *tests, after, effect = row.split()
+            rules.setdefault((State[state], Input[what]), []).append((
+                tuple(getattr(Choice, test) for test in tests if test != "-"), State[after],
+                getattr(Choice, effect)))
+    return rules
+
+
+RULES = _rules()
--- /dev/null
+++ b/burlloom/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the bench's wire and the decisions."""
--- /dev/null
+++ b/burlloom/wirehost/host.py
@@ -0,0 +1,183 @@
+"""Carries events of the wire to one `Choice` for each instance, and its effects back as actions."""
+
+from typing import Any
+
+from ..choice import Choice
+from ..interface import ServerFacts, Txn
+from . import codec
+from .codec import MICRO, BadInput
+
+
+class Instance:
+    """One life of one simulated server; implements `interface.Effects`."""
+
+    def __init__(self, who: str, seed: int, facts: ServerFacts, meters: tuple[str, ...], now: int) -> None:
+        self.who = who
+        self.out: list[str] = []
+        self.refs: dict[str, int] = {}
+        self.names: dict[int, str] = {}
+        self.callers: dict[str, int] = {}
+        self.released: list[int] = []
+        self.given = 0
+        self.meters = meters
+        self.choice = Choice(facts, seed, self, now)
+
+    def ref(self, name: str) -> int:
+        return self.refs.get(name, -1)
+
+    def admit(self, name: str) -> int:
+        ref = self.given
+        self.given += 1
+        self.refs[name] = ref
+        self.names[ref] = name
+        return ref
+
+    def drop_released(self) -> None:
+        """After the batch only: a later event of the same batch may still name these."""
+        for ref in self.released:
+            self.refs.pop(self.names.pop(ref), None)
+        self.released.clear()
+
+    def put(self, action: str, *values: object) -> None:
+        self.out.append(" ".join((action, self.who, *map(str, values))))
+
+    def start(self, ref: int) -> None:
+        self.put("ADMIT", self.names[ref])
+
+    def decline(self, ref: int, stay_away: int, final: bool) -> None:
+        self.put("REFUSE", self.names[ref], stay_away // MICRO, int(final))
+
+    def void(self, ref: int) -> None:
+        self.put("END_FAILED", self.names[ref])
+
+    def call(self, ref: int, stop_at: int) -> None:
+        self.put("DIAL", self.names[ref], stop_at // MICRO)
+
+    def leave_out(self, ref: int) -> None:
+        self.put("GO_ON", self.names[ref])
+
+    def keep(self, ref: int, lifetime: int) -> None:
+        self.put("STORE_KEY", self.names[ref], lifetime // MICRO)
+
+    def forget(self, ref: int) -> None:
+        self.put("UNPIN", self.names[ref])
+
+    def reuse(self, ref: int) -> None:
+        self.put("ANSWER_FROM", self.names[ref])
+
+    def health(self, good: bool) -> None:
+        self.put("SET_HEALTH", int(good), 1)
+
+    def tell(self, value: float) -> None:
+        self.put("STAMP", f"{value:.4f}")
+
+    def idle(self, lifetime: int) -> None:
+        self.put("TRIM_AFTER", lifetime // MICRO)
+
+    def wake(self, delay: int, handle: int) -> None:
+        self.put("SCHEDULE", delay // MICRO, handle)
+
+    def note(self, text: str) -> None:
+        self.put("EMIT", text)
+
+    def release(self, ref: int) -> None:
+        self.released.append(ref)
+
+
+class Host:
+    def __init__(self) -> None:
+        self.instances: dict[str, Instance] = {}
+
+    def batch(self, now: int, lines: list[str]) -> list[str]:
+        """The actions that answer one batch, in the order in which they were taken."""
+        out: list[str] = []
+        touched: dict[str, Instance] = {}
+        for line in lines:
+            values = codec.parts(line)
+            who = values[1]
+            try:
+                event = self.read(now, values)
+            except (ValueError, KeyError, TypeError) as error:
+                raise BadInput(f"{values[0]}: unreadable value ({error})") from error
+            if event is None:
+                continue
+            try:
+                event()
+            except Exception as error:  # whatever the decisions raise is theirs to answer for, by name
+                out.append(f"BUG {who} {_place(error)}")
+                return out
+            instance = self.instances[who]
+            touched[who] = instance
+            out += instance.out
+            instance.out.clear()
+        for instance in touched.values():
+            instance.drop_released()
+        return out
+
+    def read(self, now: int, values: list[str]) -> Any:
+        """Decodes one event into a call on its instance; None where there is nothing to call."""
+        name, who = values[0], values[1]
+        if name == "BOOT":
+            if int(who) < 0:
+                raise ValueError(f"instance {who}")
+            seed, (facts, meters) = int(values[2]), codec.facts(values[3])
+            return lambda: self.boot(Instance(who, seed, facts, meters, now), now)
+        if name == "KILLED":
+            self.instances.pop(str(int(who)), None)
+            return None
+        instance = self.instances.get(who)
+        if instance is None:
+            int(who)
+            raise ValueError(f"instance {who} has not been started")
+        choice = instance.choice
+        if name == "WAKE":
+            handle, gauges = int(values[2]), codec.gauges(instance.meters, values[3])
+            return lambda: choice.woke(now, handle, gauges)
+        if name == "WIND_DOWN":
+            stop = codec.nanos(values[2])
+            return lambda: choice.leaving(now, stop)
+        if name == "ASK":
+            txn = self.txn(instance, values)
+            return lambda: choice.arrived(now, txn)
+        ref = instance.ref(values[2])
+        if name == "NEEDS":
+            return lambda: choice.at_call(now, ref)
+        if name == "LEFT":
+            return lambda: choice.left(now, ref)
+        if name == "COMPLETED":
+            outcome, took = codec.OUTCOME[values[3]], codec.nanos(values[4])
+            return lambda: choice.ended(now, ref, outcome, took)
+        took, outcome = codec.nanos(values[3]), codec.OUTCOME[values[4]]
+        return lambda: choice.call_ended(now, ref, outcome, took)
+
+    def boot(self, instance: Instance, now: int) -> None:
+        self.instances[instance.who] = instance
+        instance.choice.begin(now)
+
+    @staticmethod
+    def txn(instance: Instance, values: list[str]) -> Txn:
+        _, _, name, caller, bits, customer, cost, product, unread, _, expiry_at, kb, rank, original = values
+        forerunner = -1
+        if original not in ("-", "0"):
+            # one that this life was never given counts as run: nothing here proves that it was not
+            forerunner = instance.refs.get(original, -2)
+        return Txn(
+            ref=instance.admit(name),
+            caller=instance.callers.setdefault(caller, len(instance.callers)),
+            product=int(product),
+            customer=codec.whole(customer),
+            cost=codec.nanos(cost) if codec.whole(bits) & 1 else 0,
+            unread=codec.nanos(unread),
+            expiry_at=codec.nanos(expiry_at),
+            kb=codec.real(kb),
+            rank=codec.real(rank),
+            repeat_of=forerunner,
+        )
+
+
+def _place(error: Exception) -> str:
+    trace = error.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    where = f"{trace.tb_frame.f_code.co_filename.rsplit('/', 1)[-1]}:{trace.tb_lineno}" if trace else "?"
+    return f"{type(error).__name__}: {error} at {where}".replace("\n", " ")
