Hold as many as may run: longer holds only make late answers

Cause: with the hold bounded by memory alone a txn waited 1 to 2 s, then was answered late or declined too late to be tried elsewhere; clients count from their first try, which a server can't see. Kept at the smallest that the design allows.

--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -8,6 +8,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Callable
 from enum import IntEnum
 from random import Random
 
@@ -19,6 +20,7 @@
 MARGIN = 20 * MS  # an answer's way out
 CUT = 0.7  # what is left of the run limit after a cut
 IDLE_USE = 0.9  # cores used less than this are idle
+HOLD_RUNS = 1  # held txns for each that may run: more would only be answered late
 HOLD_SHARE = 0.25  # of memory, for the hold
 MEMORY_SHARE = 0.97  # of memory, for everything
 CROWD_SHARE = 0.85  # of the crowd that kills
@@ -263,7 +265,7 @@
         """Fills what has come free: call slots first, then run slots from the newest held."""
         while self.door and self.may_call():
             self.feed(next(iter(self.door.values())), Input.GRANT)
-        while self.hold_list and self.running() < self.limit and self.started() < self.ceiling():
+        while self.hold_list and self.running() < int(self.limit) and self.started() < self.ceiling():
             newest = self.hold_list[next(reversed(self.hold_list))]
             if not self.fits(newest.txn.kb * (self.facts.run_factor - 1)):
                 break
@@ -286,9 +288,9 @@
             return 1.0
         return min(1.0, facts.cold_from + (1 - facts.cold_from) * (self.now - self.born) / facts.warm_up)
 
-    def ceiling(self) -> float:
+    def ceiling(self) -> int:
         """Counts all that has started, as if all calls and disks came back together."""
-        return CROWD_SHARE * (1 + (self.facts.crowd - 1) * self.warmth()) * self.facts.cores
+        return max(1, int(CROWD_SHARE * (1 + (self.facts.crowd - 1) * self.warmth()) * self.facts.cores))
 
     def fits(self, kb: float) -> bool:
         return self.kb + self.keys * self.facts.key_kb + kb <= MEMORY_SHARE * self.facts.memory_kb
@@ -371,8 +373,8 @@
     def crammed(self, case: Case) -> bool:
         if not self.fits(0):
             return True
-        return (len(self.hold_list) >= self.limit
-                and self.held_kb + case.txn.kb > HOLD_SHARE * self.facts.memory_kb)
+        return (len(self.hold_list) >= HOLD_RUNS * self.limit
+                or self.held_kb + case.txn.kb > HOLD_SHARE * self.facts.memory_kb)
 
     def may_call(self) -> bool:
         if self.broken >= BREAK_AFTER and (self.now < self.trial_at or self.count[State.CALL]):
@@ -528,8 +530,12 @@
             self.do.tell(value)
 
 
-def _rules() -> dict:
-    rules: dict = {}
+Rules = dict[tuple[State, Input], list[tuple[tuple[Callable[[Choice, Case], bool], ...], State,
+                                              Callable[[Choice, Case], None]]]]
+
+
+def _rules() -> Rules:
+    rules: Rules = {}
     for row in TABLE.split("\n"):
         if row:
             state, what, *tests, after, effect = row.split()
