Pressure rises slowly and falls fast; ask not to try elsewhere under pressure

Cause: a level that jumps keeps value away that other servers could not take and herds the rest onto them.

--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -26,11 +26,11 @@
 CROWD_SHARE = 0.85  # of the crowd that kills
 STALL = 1000 * MS  # no run moves for this long: work hangs
 GAP = 3 * ROUND  # no event for this long: the process stood still
-EARLY = 0.7  # of the mean run time, as what a txn still needs: runs spread widely
+EARLY = 1.0  # of the mean run time, as what a txn still needs: runs spread widely
 BREAK_AFTER = 5  # calls failed in a row until calling stops
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN = 6  # ended runs before their failures count as a sign
-PRESS_UP, PRESS_DOWN = 0.06, 0.03  # a round's step of pressure
+PRESS_UP, PRESS_DOWN = 0.03, 0.05  # a round's step of pressure
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
@@ -435,7 +435,7 @@
         away = self.turned.total(self.now) / max(1.0, self.read.total(self.now))
         if self.stop < NEVER or self.hung():
             away = 1.0
-        self.do.decline(case.txn.ref, int(min(1.0, away) * self.facts.advice_max), False)
+        self.do.decline(case.txn.ref, int(min(1.0, away) * self.facts.advice_max), self.press > 0.5)
 
     def overwrite(self, case: Case) -> None:
         self.overwritten += 1
