--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -30,7 +30,8 @@
 BREAK_AFTER = 5  # calls failed in a row until calling stops
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN = 6  # ended runs before their failures count as a sign
-PRESS_UP, PRESS_DOWN = 0.03, 0.05  # a round's step of pressure
+PRESS_GAIN, PRESS_AIM = 0.1, 0.1  # pressure goes by the share turned away, towards this one
+UNFAIR_FROM = 2  # pressure from which customers are kept to their shares
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
@@ -349,7 +350,7 @@
 
     def over_share(self, case: Case) -> bool:
         # Against one customer that crowds out the others; it may harm where callers spread unevenly.
-        if not self.customers or self.press <= 0:
+        if not self.customers or self.press < UNFAIR_FROM:
             return False
         share = self.facts.customer_rates[case.txn.customer] / self.facts.servers
         return self.customers[case.txn.customer].total(self.now) > 2 * share
@@ -431,7 +432,8 @@
 
     def turn_away(self, case: Case) -> None:
         self.drop(case)
-        self.turned.add(self.now, 1)
+        if not self.over_share(case):
+            self.turned.add(self.now, 1)
         away = self.turned.total(self.now) / max(1.0, self.read.total(self.now))
         if self.stop < NEVER or self.hung():
             away = 1.0
@@ -506,7 +508,8 @@
                 self.limit *= CUT
         self.timeouts = 0
         self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
-        self.press = min(1.0, self.press + PRESS_UP) if waiting else max(0.0, self.press - PRESS_DOWN)
+        away = self.turned.total(self.now) / max(1.0, self.read.total(self.now))
+        self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (away - PRESS_AIM)))
 
     def set_health(self, good: bool) -> None:
         if good != self.good:
