A customer over its share ousts nobody; no other decline for fairness

It should also meet one customer's burst or retry storm; it may harm where callers spread a customer unevenly.

--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -31,7 +31,6 @@
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN = 6  # ended runs before their failures count as a sign
 PRESS_GAIN, PRESS_AIM = 0.1, 0.1  # pressure goes by the share turned away, towards this one
-UNFAIR_FROM = 2  # pressure from which customers are kept to their shares
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
@@ -346,11 +345,12 @@
 
     def unwanted(self, case: Case) -> bool:
         return (case.arrived > self.last_arrival or self.past(case) or self.late(case) or self.hung()
-                or self.over_share(case) or self.chance() < self.ailing())
+                or self.chance() < self.ailing())
 
     def over_share(self, case: Case) -> bool:
-        # Against one customer that crowds out the others; it may harm where callers spread unevenly.
-        if not self.customers or self.press < UNFAIR_FROM:
+        # Against one customer that crowds out the others: only where someone has to lose. Declining it sooner
+        # costs more than it saves, since each decline is tried and read again elsewhere.
+        if not self.customers:
             return False
         share = self.facts.customer_rates[case.txn.customer] / self.facts.servers
         return self.customers[case.txn.customer].total(self.now) > 2 * share
@@ -369,7 +369,7 @@
         first = self.forerunner(case)
         if first is not None and first.state == State.HELD:
             return False
-        return oldest is None or not self.stale(oldest) or not self.fits(-oldest.txn.kb)
+        return oldest is None or not self.stale(oldest) or not self.fits(-oldest.txn.kb) or self.over_share(case)
 
     def crammed(self, case: Case) -> bool:
         if not self.fits(0):
@@ -432,8 +432,7 @@
 
     def turn_away(self, case: Case) -> None:
         self.drop(case)
-        if not self.over_share(case):
-            self.turned.add(self.now, 1)
+        self.turned.add(self.now, 1)
         away = self.turned.total(self.now) / max(1.0, self.read.total(self.now))
         if self.stop < NEVER or self.hung():
             away = 1.0
