Under pressure a txn ranked below the level is not held and ousts nobody

Cause: in a burst the hold lost by age alone, as much of the highest value as of the lowest. The level that callers are told is now kept at the door too, for callers that do not heed it or sites that tell none; it stays under the band of the highest value.

--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -369,14 +369,19 @@
         first = self.forerunner(case)
         if first is not None and first.state == State.HELD:
             return False
-        return oldest is None or not self.stale(oldest) or not self.fits(-oldest.txn.kb) or self.over_share(case)
+        return (oldest is None or not self.stale(oldest) or not self.fits(-oldest.txn.kb) or self.over_share(case)
+                or case.txn.rank < self.level())
 
     def crammed(self, case: Case) -> bool:
-        if not self.fits(0):
+        if not self.fits(0) or self.hold_list and case.txn.rank < self.level():
             return True
         return (len(self.hold_list) >= HOLD_RUNS * self.limit
                 or self.held_kb + case.txn.kb > HOLD_SHARE * self.facts.memory_kb)
 
+    def level(self) -> float:
+        """Never so high that nothing of the highest value would be taken."""
+        return self.press * (1 - 1 / len({product.value for product in self.facts.products}))
+
     def may_call(self) -> bool:
         if self.broken >= BREAK_AFTER and (self.now < self.trial_at or self.count[State.CALL]):
             return False
@@ -519,8 +524,7 @@
         self.set_health(self.stop == NEVER and not self.hung() and self.ailing() < 0.5)
         facts = self.facts
         if facts.free_value is FreeValue.FLOOR:
-            # never so high that nothing of the highest value would be sent
-            value = self.press * (1 - 1 / len({product.value for product in facts.products}))
+            value = self.level()
         elif facts.free_value is FreeValue.WEIGHT:
             value = 1 - self.press
         elif facts.free_value is FreeValue.ALLOWANCE:
