--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -29,7 +29,7 @@
 EARLY = 1.0  # of the mean run time, as what a txn still needs: runs spread widely
 BREAK_AFTER = 5  # calls failed in a row until calling stops
 TRIAL = 500 * MS  # from one single trial of a call to the next
-AILING_MIN = 6  # ended runs before their failures count as a sign
+AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
 PRESS_GAIN, PRESS_AIM = 0.1, 0.1  # pressure goes by the share turned away, towards this one
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
@@ -310,8 +310,10 @@
         return self.count[State.RUN] + self.count[State.TAIL] > 0 and self.now - self.moved > STALL
 
     def ailing(self) -> float:
+        """The share of runs that fail here, where it is a sign and not chance."""
         ends = self.ends.total(self.now)
-        return self.bad_ends.total(self.now) / ends if ends >= AILING_MIN else 0.0
+        share = self.bad_ends.total(self.now) / ends if ends >= AILING_MIN else 0.0
+        return share if share >= AILING_FROM else 0.0
 
     def calls_in_hand(self) -> int:
         self.lingering = [until for until in self.lingering if until > self.now]
