--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -20,13 +20,13 @@
 MARGIN = 20 * MS  # an answer's way out
 CUT = 0.7  # what is left of the run limit after a cut
 IDLE_USE = 0.9  # cores used less than this are idle
-HOLD_RUNS = 1  # held txns for each that may run: more would only be answered late
+HOLD_RUNS = 2  # held txns for each that may run: more would only be answered late
 HOLD_SHARE = 0.25  # of memory, for the hold
 MEMORY_SHARE = 0.97  # of memory, for everything
 CROWD_SHARE = 0.85  # of the crowd that kills
 STALL = 1000 * MS  # no run moves for this long: work hangs
 GAP = 3 * ROUND  # no event for this long: the process stood still
-EARLY = 0.5  # of the mean run time, as what a txn still needs: runs spread widely
+EARLY = 1.0  # of the mean run time, as what a txn still needs: runs spread widely
 BREAK_AFTER = 5  # calls failed in a row until calling stops
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
@@ -343,7 +343,11 @@
         return self.started() >= self.ceiling() or not self.fits(case.txn.kb * (self.facts.run_factor - 1))
 
     def late(self, case: Case) -> bool:
-        return self.now + EARLY * self.needs(case) + MARGIN > min(case.wanted, self.stop)
+        # With nobody else waiting a run costs nobody a turn: then only time that is surely up counts, for a hint
+        # may be wrong and a large txn would be declined everywhere.
+        others = len(self.hold_list) > (case.state == State.HELD)
+        needs = EARLY * self.needs(case) if others else 0.0
+        return self.now + needs + MARGIN > min(case.wanted, self.stop)
 
     def unwanted(self, case: Case) -> bool:
         return (case.arrived > self.last_arrival or self.past(case) or self.late(case) or self.hung()
