A struck server sends callers elsewhere by every means; the table passes plain effects on

Hung, failing and lagging are now one sign: health off, the free value at its extreme, full advice, never 'not elsewhere'. It also meets pauses and full reading queues; if the whole fleet lags all send callers away, for about a second at a time.

--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -4,13 +4,15 @@
 that happens, in order and with the time: `arrived`, `ended`, `at_call`, `call_ended`, `left`, `leaving`
 and `woke`. Each acts at once through `interface.Effects`; the types are in `interface.py`, the reasons in
 `docs/design.md`. Read TABLE first: a txn in a state meets an input; the first row whose tests all hold
-moves it and has its effect. Tests and effects are the methods of `Choice` that have their names.
+moves it and has its effect. Tests and effects are the methods of `Choice` that have their names, or else of
+`interface.Effects`.
 """
 
 from collections import OrderedDict
 from collections.abc import Callable
 from enum import IntEnum
 from random import Random
+from typing import Any
 
 from .interface import Effects, FreeValue, Gauges, Outcome, Repeatable, ServerFacts, Txn
 
@@ -25,6 +27,7 @@
 MEMORY_SHARE = 0.97  # of memory, for everything
 CROWD_SHARE = 0.85  # of the crowd that kills
 STALL = 1000 * MS  # no run moves for this long: work hangs
+BEHIND = 0.25  # of the shortest SLA time: reading that lags more leaves no time to serve
 GAP = 3 * ROUND  # no event for this long: the process stood still
 EARLY = 1.0  # of the mean run time, as what a txn still needs: runs spread widely
 BREAK_AFTER = 5  # calls failed in a row until calling stops
@@ -40,9 +43,9 @@
 Input = IntEnum("Input", "READ PICK OUST LATE DUE LEFT NEEDS GRANT SKIP BACK BROKE END MOOT", start=0)
 
 TABLE = """
-NEW   READ   ran_before past           GONE  give_up
-NEW   READ   ran_before no_copy_room   GONE  give_up
-NEW   READ   ran_before                COPY  copy
+NEW   READ   ran_before past           GONE  void
+NEW   READ   ran_before no_copy_room   GONE  void
+NEW   READ   ran_before                COPY  reuse
 NEW   READ   unwanted                  GONE  turn_away
 NEW   READ   no_entry                  GONE  turn_away
 NEW   READ   full                      GONE  exceed
@@ -54,28 +57,28 @@
 HELD  DUE    -                         GONE  turn_away
 HELD  LEFT   -                         GONE  drop
 RUN   NEEDS  -                         DOOR  queue
-RUN   DUE    -                         TAIL  give_up
-RUN   LEFT   -                         TAIL  nothing
+RUN   DUE    -                         TAIL  void
+RUN   LEFT   -                         TAIL  -
 RUN   END    -                         RAN   finish
 RUN   MOOT   -                         GONE  drop
 DOOR  GRANT  -                         CALL  dial
 DOOR  SKIP   -                         RUN   leave_out
-DOOR  DUE    -                         TAIL  give_up
-DOOR  LEFT   -                         TAIL  nothing
+DOOR  DUE    -                         TAIL  void
+DOOR  LEFT   -                         TAIL  -
 DOOR  END    -                         RAN   finish
-CALL  BACK   -                         RUN   nothing
+CALL  BACK   -                         RUN   -
 CALL  BROKE  may_repeat                DOOR  queue
 CALL  BROKE  can_skip                  RUN   leave_out
-CALL  BROKE  -                         TAIL  give_up
-CALL  DUE    -                         TAIL  abandon
-CALL  LEFT   -                         TAIL  linger
+CALL  BROKE  -                         TAIL  void
+CALL  DUE    -                         TAIL  void
+CALL  LEFT   -                         TAIL  -
 CALL  END    -                         RAN   finish
-TAIL  END    -                         RAN   nothing
+TAIL  END    -                         RAN   -
 TAIL  MOOT   -                         GONE  drop
-COPY  END    -                         RAN   nothing
-COPY  MOOT   -                         GONE  nothing
-COPY  DUE    -                         GONE  give_up
-COPY  LEFT   -                         GONE  nothing
+COPY  END    -                         RAN   -
+COPY  MOOT   -                         GONE  -
+COPY  DUE    -                         GONE  void
+COPY  LEFT   -                         GONE  -
 """
 
 
@@ -143,7 +146,8 @@
         self.in_hand = Ring(max(facts.calls_span, 10))
         self.took = [(Ring(5000 * MS), Ring(5000 * MS)) for _ in facts.products]
         self.ends, self.bad_ends = Ring(2000 * MS), Ring(2000 * MS)
-        self.read, self.turned = Ring(1000 * MS), Ring(1000 * MS)
+        self.read, self.turned, self.unread = Ring(1000 * MS), Ring(1000 * MS), Ring(1000 * MS)
+        self.lag = BEHIND * min(product.sla for product in facts.products)
         self.customers = [Ring(2000 * MS) for _ in facts.customer_rates]
 
     # What the host calls.
@@ -158,6 +162,7 @@
         self.count[State.NEW] += 1
         self.kb += txn.kb
         self.read.add(now, 1)
+        self.unread.add(now, txn.unread)
         if self.customers:
             self.customers[txn.customer].add(now, 1)
         self.feed(case, Input.READ)
@@ -192,9 +197,7 @@
             case.outcome = outcome
             self.broken = 0 if outcome is Outcome.OK else self.broken + 1
             self.trial_at = now + TRIAL
-            if outcome is Outcome.TIMED_OUT:
-                self.timeouts += 1
-                self.lingering.append(now + self.facts.linger)
+            self.timeouts += outcome is Outcome.TIMED_OUT
         self.meet(now, ref, Input.BACK if outcome is Outcome.OK else Input.BROKE)
 
     def leaving(self, now: int, stop: int) -> None:
@@ -251,9 +254,11 @@
         self.count[old] -= 1
         self.count[state] += 1
         self.kb += (self.weight[state] - self.weight[old]) * case.txn.kb
+        if old == State.CALL and case.outcome not in (Outcome.OK, *PROVES_UNRUN):
+            self.lingering.append(self.now + self.facts.linger)  # given up here, still in hand below
         if old == State.HELD:
-            del self.hold_list[case.txn.ref]
             self.held_kb -= case.txn.kb
+            del self.hold_list[case.txn.ref]
         elif old == State.DOOR:
             del self.door[case.txn.ref]
         if state in (State.RAN, State.GONE):
@@ -274,8 +279,7 @@
     # Measures.
 
     def started(self) -> int:
-        count = self.count
-        return count[State.RUN] + count[State.DOOR] + count[State.CALL] + count[State.TAIL] + count[State.COPY]
+        return sum(self.count[State.RUN:State.COPY + 1])
 
     def running(self) -> int:
         """Those at a call leave the count, up to as many as there are cores: all may come back at once."""
@@ -315,6 +319,15 @@
         share = self.bad_ends.total(self.now) / ends if ends >= AILING_MIN else 0.0
         return share if share >= AILING_FROM else 0.0
 
+    def struck(self) -> bool:
+        """This server does far worse than others can be expected to: it hangs, fails, or reads far too late.
+
+        Against a crawling server that goes on drawing its share of arrivals only to decline them late; meets
+        any cause of that. It may harm when the whole fleet is struck: then all send callers elsewhere.
+        """
+        behind = self.unread.total(self.now) > self.lag * max(1.0, self.read.total(self.now))
+        return behind or self.hung() or self.ailing() >= 0.5
+
     def calls_in_hand(self) -> int:
         self.lingering = [until for until in self.lingering if until > self.now]
         return self.count[State.CALL] + len(self.lingering)
@@ -343,8 +356,8 @@
         return self.started() >= self.ceiling() or not self.fits(case.txn.kb * (self.facts.run_factor - 1))
 
     def late(self, case: Case) -> bool:
-        # With nobody else waiting a run costs nobody a turn: then only time that is surely up counts, for a hint
-        # may be wrong and a large txn would be declined everywhere.
+        # With nobody else waiting a run costs nobody a turn: then only time that is surely up counts, for
+        # a hint may be wrong and a large txn would be declined everywhere.
         others = len(self.hold_list) > (case.state == State.HELD)
         needs = EARLY * self.needs(case) if others else 0.0
         return self.now + needs + MARGIN > min(case.wanted, self.stop)
@@ -369,14 +382,11 @@
         return case.arrived + product.window <= self.now or not self.fits(self.facts.key_kb + reserve)
 
     def full(self, case: Case) -> bool:
-        if not self.crammed(case):
+        first, oldest = self.forerunner(case), self.oldest()
+        if not self.crammed(case) or first is not None and first.state == State.HELD:
             return False
-        oldest = self.oldest()
-        first = self.forerunner(case)
-        if first is not None and first.state == State.HELD:
-            return False
-        return (oldest is None or not self.stale(oldest) or not self.fits(-oldest.txn.kb) or self.over_share(case)
-                or case.txn.rank < self.level())
+        return (oldest is None or not self.stale(oldest) or not self.fits(-oldest.txn.kb)
+                or self.over_share(case) or case.txn.rank < self.level())
 
     def crammed(self, case: Case) -> bool:
         if not self.fits(0) or self.hold_list and case.txn.rank < self.level():
@@ -408,9 +418,6 @@
 
     # Effects.
 
-    def nothing(self, case: Case) -> None:
-        pass
-
     def hold(self, case: Case) -> None:
         first = self.forerunner(case)
         if first is not None:
@@ -445,9 +452,9 @@
         self.drop(case)
         self.turned.add(self.now, 1)
         away = self.turned.total(self.now) / max(1.0, self.read.total(self.now))
-        if self.stop < NEVER or self.hung():
-            away = 1.0
-        self.do.decline(case.txn.ref, int(min(1.0, away) * self.facts.advice_max), self.press > 0.5)
+        alone = self.stop < NEVER or self.struck()
+        share = 1.0 if alone else min(1.0, away)
+        self.do.decline(case.txn.ref, int(share * self.facts.advice_max), self.press > 0.5 and not alone)
 
     def overwrite(self, case: Case) -> None:
         self.overwritten += 1
@@ -457,16 +464,6 @@
         self.exceeded += 1
         self.turn_away(case)
 
-    def give_up(self, case: Case) -> None:
-        self.do.void(case.txn.ref)
-
-    def abandon(self, case: Case) -> None:
-        self.linger(case)
-        self.do.void(case.txn.ref)
-
-    def linger(self, case: Case) -> None:
-        self.lingering.append(self.now + self.facts.linger)
-
     def start(self, case: Case) -> None:
         if self.running() <= 1:
             self.moved = self.now
@@ -477,10 +474,8 @@
                 self.facts.products[case.txn.product].repeatable is Repeatable.INQUIRY):
             self.keep(case, self.now + self.facts.fresh)
 
-    def copy(self, case: Case) -> None:
-        self.do.reuse(case.txn.ref)
-
     def queue(self, case: Case) -> None:
+        case.outcome = Outcome.STOPPED  # until a call ends well, leaving it abandons it
         self.door[case.txn.ref] = case
 
     def dial(self, case: Case) -> None:
@@ -490,9 +485,6 @@
             stop = min(stop, self.now + int(room) - self.facts.linger)
         self.do.call(case.txn.ref, max(stop, self.now + MS))
 
-    def leave_out(self, case: Case) -> None:
-        self.do.leave_out(case.txn.ref)
-
     # Timer rounds.
 
     def clear(self, now: int) -> None:
@@ -527,14 +519,15 @@
             self.do.health(good)
 
     def signal(self) -> None:
-        self.set_health(self.stop == NEVER and not self.hung() and self.ailing() < 0.5)
+        good = self.stop == NEVER and not self.struck()
+        self.set_health(good)
         facts = self.facts
         if facts.free_value is FreeValue.FLOOR:
-            value = self.level()
+            value = self.level() if good else 1.0
         elif facts.free_value is FreeValue.WEIGHT:
-            value = 1 - self.press
+            value = 1 - self.press if good else 0.0
         elif facts.free_value is FreeValue.ALLOWANCE:
-            value = self.limit * (1 + ROOMY * (1 - self.press)) / max(1, facts.callers)
+            value = self.limit * (1 + ROOMY * (1 - self.press)) / max(1, facts.callers) if good else 0.0
         else:
             return
         if abs(value - self.told) > 0.01:
@@ -542,18 +535,21 @@
             self.do.tell(value)
 
 
-Rules = dict[tuple[State, Input], list[tuple[tuple[Callable[[Choice, Case], bool], ...], State,
-                                              Callable[[Choice, Case], None]]]]
+Step = Callable[[Choice, Case], Any]
+
+
+def _step(name: str) -> Step:
+    """A method of `Choice`, or else an effect that is passed on as it is; `-` is none."""
+    if name == "-":
+        return lambda choice, case: None
+    return getattr(Choice, name, None) or (lambda choice, case: getattr(choice.do, name)(case.txn.ref))
 
 
-def _rules() -> Rules:
-    rules: Rules = {}
-    for row in TABLE.split("\n"):
-        if row:
-            state, what, *tests, after, effect = row.split()
-            rules.setdefault((State[state], Input[what]), []).append((
-                tuple(getattr(Choice, test) for test in tests if test != "-"), State[after],
-                getattr(Choice, effect)))
+def _rules() -> dict[tuple[State, Input], list[tuple[list[Step], State, Step]]]:
+    rules: dict[tuple[State, Input], list[tuple[list[Step], State, Step]]] = {}
+    for state, what, *tests, after, effect in filter(None, map(str.split, TABLE.split("\n"))):
+        steps = [_step(test) for test in tests if test != "-"]
+        rules.setdefault((State[state], Input[what]), []).append((steps, State[after], _step(effect)))
     return rules
 
 
