Calls get a limit by steps, held against their base time; pressure at 0.07

At its worst 6 calls a server were in hand (its whole share), 6 to 17 txns queued behind them, calls took 0.1 to 1.3 s instead of 0.05, cores idled at 0.2 to 0.6, and the run limit rose to 25 on that idleness. Not a slow node: all looked alike. Change: the call limit starts at half the share, +1 a round while calls queue, cut when calls take three times their base; only those who may call leave the run count; cores idle behind queued calls start nothing more. The call limit should meet any slow or crowded dependency; it may harm where calls grow longer by themselves, until the base has crept up.

--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -31,13 +31,15 @@
 GAP = 3 * ROUND  # no event for this long: the process stood still
 REST = 0.5  # of its SLA time that a held txn is given back with, to be tried elsewhere
 BREAK_AFTER = 5  # calls failed in a row until calling stops
+CALLS_MIN, CROWDED, CREEP = 5, 3.0, 1.005  # calls to judge by; so much over their base is too long
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
-PRESS_GAIN, PRESS_AIM = 0.1, 0.1  # pressure goes by the share turned away, towards this one
+PRESS_GAIN, PRESS_AIM = 0.07, 0.1  # pressure goes by the share turned away, towards this one
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
 PROVES_UNRUN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
+LEAVES_BEHIND = (Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.STOPPED)  # the call is still in hand below
 
 State = IntEnum("State", "NEW HELD RUN DOOR CALL TAIL COPY RAN GONE", start=0)
 Input = IntEnum("Input", "READ PICK OUST LATE DUE LEFT NEEDS GRANT SKIP BACK BROKE END MOOT", start=0)
@@ -143,6 +145,9 @@
         self.good, self.press, self.told = True, 1 - self.warmth(), -1.0
         self.lingering: list[int] = []
         self.broken, self.trial_at, self.timeouts = 0, 0, 0
+        self.call_most = max(1.0, facts.calls_share) if facts.calls_share else facts.crowd * facts.cores
+        self.call_limit, self.call_base = max(1.0, self.call_most / 2), 0.0
+        self.call_times, self.calls = Ring(1000 * MS), Ring(1000 * MS)
         self.in_hand = Ring(max(facts.calls_span, 10))
         self.took = [(Ring(5000 * MS), Ring(5000 * MS)) for _ in facts.products]
         self.ends, self.bad_ends = Ring(2000 * MS), Ring(2000 * MS)
@@ -169,21 +174,17 @@
         self.advance()
 
     def ended(self, now: int, ref: int, outcome: Outcome, took: int) -> None:
-        self.tick(now)
         case = self.cases.get(ref)
-        if case is None:
-            return
-        if case.state in (State.RUN, State.DOOR, State.CALL) and outcome in (Outcome.OK, Outcome.FAILED):
-            self.ends.add(now, 1)
-            self.bad_ends.add(now, outcome is Outcome.FAILED)
-        if case.state == State.RUN and outcome is Outcome.OK:
-            times, costs = self.took[case.txn.product]
-            times.add(now, took)
-            costs.add(now, case.txn.cost or 1)
-        case.outcome = outcome
-        self.moved = now
-        self.feed(case, Input.MOOT if outcome is Outcome.MOOT else Input.END)
-        self.advance()
+        if case is not None:
+            if case.state == State.RUN:
+                self.ends.add(now, 1)
+                self.bad_ends.add(now, outcome is Outcome.FAILED)
+                if outcome is Outcome.OK:
+                    times, costs = self.took[case.txn.product]
+                    times.add(now, took)
+                    costs.add(now, case.txn.cost or 1)
+            case.outcome = outcome
+        self.meet(now, ref, Input.MOOT if outcome is Outcome.MOOT else Input.END)
 
     def at_call(self, now: int, ref: int) -> None:
         self.meet(now, ref, Input.NEEDS)
@@ -198,12 +199,14 @@
             self.broken = 0 if outcome is Outcome.OK else self.broken + 1
             self.trial_at = now + TRIAL
             self.timeouts += outcome is Outcome.TIMED_OUT
+            self.call_times.add(now, took)
+            self.calls.add(now, 1)
         self.meet(now, ref, Input.BACK if outcome is Outcome.OK else Input.BROKE)
 
     def leaving(self, now: int, stop: int) -> None:
         self.tick(now)
         self.stop, self.last_arrival = stop, now + self.facts.grace
-        self.set_health(False)
+        self.signal()
         self.advance()
 
     def woke(self, now: int, handle: int, gauges: Gauges) -> None:
@@ -214,11 +217,11 @@
                 self.feed(case, Input.DUE)
             elif case.state == State.HELD and self.late(case):
                 self.feed(case, Input.LATE)
-            elif case.state == State.DOOR and self.can_skip(case) and (self.broken >= BREAK_AFTER
-                                                                       or self.late(case)):
+            elif case.state == State.DOOR and self.can_skip(case) and self.no_call(case):
                 self.feed(case, Input.SKIP)
         self.clear(now)
         self.pace(gauges)
+        self.pace_calls()
         self.signal()
         self.advance()
 
@@ -254,8 +257,8 @@
         self.count[old] -= 1
         self.count[state] += 1
         self.kb += (self.weight[state] - self.weight[old]) * case.txn.kb
-        if old == State.CALL and case.outcome not in (Outcome.OK, *PROVES_UNRUN):
-            self.lingering.append(self.now + self.facts.linger)  # given up here, still in hand below
+        if old == State.CALL and case.outcome in LEAVES_BEHIND:
+            self.lingering.append(self.now + self.facts.linger)
         if old == State.HELD:
             self.held_kb -= case.txn.kb
             del self.hold_list[case.txn.ref]
@@ -282,9 +285,9 @@
         return sum(self.count[State.RUN:State.COPY + 1])
 
     def running(self) -> int:
-        """Those at a call leave the count, up to as many as there are cores: all may come back at once."""
+        """Those at a call leave the count, up to as many as may call: the rest would only queue there."""
         away = self.count[State.DOOR] + self.count[State.CALL]
-        return self.count[State.RUN] + self.count[State.TAIL] + max(0, away - self.facts.cores)
+        return self.count[State.RUN] + self.count[State.TAIL] + max(0, away - int(self.call_limit))
 
     def warmth(self) -> float:
         facts = self.facts
@@ -348,9 +351,7 @@
         first = self.forerunner(case)
         if first is None:
             return case.txn.repeat_of != -1
-        if first.state == State.HELD:
-            return self.facts.products[case.txn.product].repeatable is Repeatable.INQUIRY
-        return first.state != State.GONE
+        return first.state != State.GONE and (first.state != State.HELD or self.inquiry(case))
 
     def no_copy_room(self, case: Case) -> bool:
         return self.started() >= self.ceiling() or not self.fits(case.txn.kb * (self.facts.run_factor - 1))
@@ -358,15 +359,15 @@
     def late(self, case: Case) -> bool:
         """It can't make its SLA time here, or not here but perhaps elsewhere.
 
-        With nobody else waiting a run costs nobody a turn: then only time that is surely up counts, for a hint
-        may be wrong and a large txn would be declined everywhere. With others, newer ones go first: what a held
-        txn waits on for is another server's time, and an answer that comes too late to try there is a loss to
-        all. It may harm where callers never try elsewhere.
+        With nobody else waiting a run costs nobody a turn: only time that is surely up counts, for a hint may
+        be wrong and a large txn would be declined everywhere. With others, newer ones go first, and an answer
+        too late to be tried elsewhere is a loss to all. It may harm where callers never try elsewhere.
         """
         end = min(case.wanted, self.stop) - MARGIN
         if len(self.hold_list) <= (case.state == State.HELD):
             return self.now > end
-        return self.now + self.needs(case) > end or self.now > case.wanted - REST * (case.wanted - case.arrived)
+        rest = int(REST * (case.wanted - case.arrived))
+        return self.now + self.needs(case) > end or self.now > case.wanted - rest
 
     def unwanted(self, case: Case) -> bool:
         return (case.arrived > self.last_arrival or self.past(case) or self.late(case) or self.hung()
@@ -375,10 +376,9 @@
     def over_share(self, case: Case) -> bool:
         # Against one customer that crowds out the others: only where someone has to lose. Declining it sooner
         # costs more than it saves, since each decline is tried and read again elsewhere.
-        if not self.customers:
-            return False
-        share = self.facts.customer_rates[case.txn.customer] / self.facts.servers
-        return self.customers[case.txn.customer].total(self.now) > 2 * share
+        who = case.txn.customer
+        return bool(self.customers) and (
+            self.customers[who].total(self.now) > 2 * self.facts.customer_rates[who] / self.facts.servers)
 
     def no_entry(self, case: Case) -> bool:
         product = self.facts.products[case.txn.product]
@@ -395,9 +395,8 @@
                 or self.over_share(case) or case.txn.rank < self.level())
 
     def crammed(self, case: Case) -> bool:
-        if not self.fits(0) or self.hold_list and case.txn.rank < self.level():
-            return True
-        return (len(self.hold_list) >= HOLD_RUNS * self.limit
+        return (not self.fits(0) or bool(self.hold_list) and case.txn.rank < self.level()
+                or len(self.hold_list) >= HOLD_RUNS * self.limit
                 or self.held_kb + case.txn.kb > HOLD_SHARE * self.facts.memory_kb)
 
     def level(self) -> float:
@@ -407,17 +406,21 @@
     def may_call(self) -> bool:
         if self.broken >= BREAK_AFTER and (self.now < self.trial_at or self.count[State.CALL]):
             return False
-        share = self.facts.calls_share
-        if not share:
-            return True
-        room = share * self.facts.calls_span - self.in_hand.total(self.now)
-        return self.calls_in_hand() < max(1, int(share)) and (share >= 1 or room > 2 * self.facts.linger)
+        return self.calls_in_hand() < int(self.call_limit) and (
+            not 0 < self.facts.calls_share < 1 or self.call_room() > 2 * self.facts.linger)
+
+    def no_call(self, case: Case) -> bool:
+        return self.broken >= BREAK_AFTER or self.now + MARGIN > case.wanted
+
+    def call_room(self) -> float:
+        """Where our share is under one call: what is left of it, as time of one call in hand."""
+        return self.facts.calls_share * self.facts.calls_span - self.in_hand.total(self.now)
 
     def may_repeat(self, case: Case) -> bool:
-        if self.past(case):
-            return False
-        inquiry = self.facts.products[case.txn.product].repeatable is Repeatable.INQUIRY
-        return inquiry or case.outcome in PROVES_UNRUN
+        return not self.past(case) and (self.inquiry(case) or case.outcome in PROVES_UNRUN)
+
+    def inquiry(self, case: Case) -> bool:
+        return self.facts.products[case.txn.product].repeatable is Repeatable.INQUIRY
 
     def can_skip(self, case: Case) -> bool:
         return self.facts.products[case.txn.product].skip_share > 0
@@ -430,17 +433,15 @@
             if first.state == State.HELD:
                 self.feed(first, Input.OUST)
             first.heir = case
-        elif self.crammed(case):
-            oldest = self.oldest()
-            if oldest is not None:
-                self.feed(oldest, Input.OUST)
+        elif self.hold_list and self.crammed(case):
+            self.feed(next(iter(self.hold_list.values())), Input.OUST)
         case.since = self.now - self.slept
         self.hold_list[case.txn.ref] = case
         self.held_kb += case.txn.kb
         product = self.facts.products[case.txn.product]
         if product.repeatable is Repeatable.REFERENCED:
             self.keep(case, case.arrived + product.window)
-        elif self.facts.fresh and product.repeatable is Repeatable.INQUIRY and self.fits(self.facts.key_kb):
+        elif self.facts.fresh and self.inquiry(case) and self.fits(self.facts.key_kb):
             self.keep(case, case.due)
 
     def keep(self, case: Case, until: int) -> None:
@@ -476,8 +477,7 @@
         self.do.start(case.txn.ref)
 
     def finish(self, case: Case) -> None:
-        if case.kept and self.facts.fresh and (
-                self.facts.products[case.txn.product].repeatable is Repeatable.INQUIRY):
+        if case.kept and self.inquiry(case):
             self.keep(case, self.now + self.facts.fresh)
 
     def queue(self, case: Case) -> None:
@@ -486,9 +486,8 @@
 
     def dial(self, case: Case) -> None:
         stop = min(case.due, self.stop) - ROUND
-        if self.facts.calls_share and self.facts.calls_share < 1:
-            room = self.facts.calls_share * self.facts.calls_span - self.in_hand.total(self.now)
-            stop = min(stop, self.now + int(room) - self.facts.linger)
+        if 0 < self.facts.calls_share < 1:
+            stop = min(stop, self.now + int(self.call_room()) - self.facts.linger)
         self.do.call(case.txn.ref, max(stop, self.now + MS))
 
     # Timer rounds.
@@ -506,28 +505,37 @@
 
     def pace(self, gauges: Gauges) -> None:
         oldest = self.oldest()
-        if oldest is None:
-            waiting = False
-        else:
-            waiting = self.stale(oldest)
-            if 0 <= gauges.core_use < IDLE_USE:
-                self.limit += 1
-            elif waiting or self.timeouts:
-                self.limit *= CUT
+        idle = 0 <= gauges.core_use < IDLE_USE
+        if oldest is not None and idle:
+            self.limit += not self.door  # cores that idle behind crowded calls need no more starts
+        elif not idle and (self.timeouts or oldest is not None and self.stale(oldest)):
+            self.limit *= CUT
         self.timeouts = 0
         self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
         away = self.turned.total(self.now) / max(1.0, self.read.total(self.now))
         self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (away - PRESS_AIM)))
 
-    def set_health(self, good: bool) -> None:
+    def pace_calls(self) -> None:
+        """The same steps for calls: what lies below slows all its callers long before our share of it is up.
+
+        Meets a slow or crowded dependency; harms where calls grow longer for a reason of their own, until the
+        base that they are held against has crept up.
+        """
+        count = self.calls.total(self.now)
+        if count >= CALLS_MIN:
+            mean = self.call_times.total(self.now) / count
+            self.call_base = min(mean, self.call_base * CREEP) if self.call_base else mean
+            if mean > CROWDED * self.call_base:
+                self.call_limit = max(1.0, self.call_limit * CUT)
+                return
+        if self.door:
+            self.call_limit = min(self.call_most, self.call_limit + 1)
+
+    def signal(self) -> None:
+        facts, good = self.facts, self.stop == NEVER and not self.struck()
         if good != self.good:
             self.good = good
             self.do.health(good)
-
-    def signal(self) -> None:
-        good = self.stop == NEVER and not self.struck()
-        self.set_health(good)
-        facts = self.facts
         if facts.free_value is FreeValue.FLOOR:
             value = self.level() if good else 1.0
         elif facts.free_value is FreeValue.WEIGHT:
