A call that queues too long is left out while time is left; calls go first to what needs them

Calls took 250 to 350 ms instead of 10, up to 11 txns queued for one call slot, cores idled at 0.1 to 0.6: the ledger was slow, not the nodes (use was 0.57 with runs of normal length before). Txns that may go without the call waited for it until their SLA time was up. Change: after the jostle timeout in that queue and half the SLA time they leave the call out; the others call first. Rounds are now one input of the table, which looks once. It also meets a ledger that falls; it may harm where calls queue briefly and the poorer answer is worth little.

--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -42,7 +42,7 @@
 LEAVES_BEHIND = (Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.STOPPED)  # the call is still in hand below
 
 State = IntEnum("State", "NEW HELD RUN DOOR CALL TAIL COPY RAN GONE", start=0)
-Input = IntEnum("Input", "READ PICK OUST LATE DUE LEFT NEEDS GRANT SKIP BACK BROKE END MOOT", start=0)
+Input = IntEnum("Input", "READ PICK OUST ROUND LEFT NEEDS GRANT BACK BROKE END MOOT", start=0)
 
 TABLE = """
 NEW   READ   ran_before past           GONE  void
@@ -55,31 +55,31 @@
 HELD  PICK   late                      GONE  turn_away
 HELD  PICK   -                         RUN   start
 HELD  OUST   -                         GONE  overwrite
-HELD  LATE   -                         GONE  turn_away
-HELD  DUE    -                         GONE  turn_away
+HELD  ROUND  past                      GONE  turn_away
+HELD  ROUND  late                      GONE  turn_away
 HELD  LEFT   -                         GONE  drop
 RUN   NEEDS  -                         DOOR  queue
-RUN   DUE    -                         TAIL  void
+RUN   ROUND  past                      TAIL  void
 RUN   LEFT   -                         TAIL  -
 RUN   END    -                         RAN   finish
 RUN   MOOT   -                         GONE  drop
 DOOR  GRANT  -                         CALL  dial
-DOOR  SKIP   -                         RUN   leave_out
-DOOR  DUE    -                         TAIL  void
+DOOR  ROUND  past                      TAIL  void
+DOOR  ROUND  can_skip no_call          RUN   leave_out
 DOOR  LEFT   -                         TAIL  -
 DOOR  END    -                         RAN   finish
 CALL  BACK   -                         RUN   -
 CALL  BROKE  may_repeat                DOOR  queue
 CALL  BROKE  can_skip                  RUN   leave_out
 CALL  BROKE  -                         TAIL  void
-CALL  DUE    -                         TAIL  void
+CALL  ROUND  past                      TAIL  void
 CALL  LEFT   -                         TAIL  -
 CALL  END    -                         RAN   finish
 TAIL  END    -                         RAN   -
 TAIL  MOOT   -                         GONE  drop
 COPY  END    -                         RAN   -
 COPY  MOOT   -                         GONE  -
-COPY  DUE    -                         GONE  void
+COPY  ROUND  past                      GONE  void
 COPY  LEFT   -                         GONE  -
 """
 
@@ -107,7 +107,8 @@
 class Case:
     """A txn and where it stands."""
 
-    __slots__ = ("txn", "state", "arrived", "wanted", "due", "since", "kept", "over", "heir", "outcome")
+    __slots__ = ("txn", "state", "arrived", "wanted", "give_back", "due", "since", "kept", "over", "heir",
+                 "outcome")
 
     def __init__(self, txn: Txn, now: int, facts: ServerFacts) -> None:
         product = facts.products[txn.product]
@@ -117,6 +118,7 @@
         self.due = max(now, txn.expiry_at or self.arrived + product.expiry)
         sla_at = min(self.due, self.arrived + product.sla + int(product.sla_stretch * txn.cost))
         self.wanted = self.due if product.late_share else sla_at
+        self.give_back = self.wanted - int(REST * (self.wanted - self.arrived))
         self.since = 0
         self.kept = 0
         self.over = 0
@@ -213,12 +215,7 @@
         self.tick(now)
         self.do.wake(ROUND, handle)
         for case in list(self.live.values()):
-            if case.state != State.TAIL and min(case.due, self.stop) <= now + ROUND + MARGIN:
-                self.feed(case, Input.DUE)
-            elif case.state == State.HELD and self.late(case):
-                self.feed(case, Input.LATE)
-            elif case.state == State.DOOR and self.can_skip(case) and self.no_call(case):
-                self.feed(case, Input.SKIP)
+            self.feed(case, Input.ROUND)
         self.clear(now)
         self.pace(gauges)
         self.pace_calls()
@@ -270,9 +267,9 @@
             self.spent.append(case)
 
     def advance(self) -> None:
-        """Fills what has come free: call slots first, then run slots from the newest held."""
+        """Fills what is free: calls, first to those that can't go without, then runs from the newest held."""
         while self.door and self.may_call():
-            self.feed(next(iter(self.door.values())), Input.GRANT)
+            self.feed(min(self.door.values(), key=self.can_skip), Input.GRANT)
         while self.hold_list and self.running() < int(self.limit) and self.started() < self.ceiling():
             newest = self.hold_list[next(reversed(self.hold_list))]
             if not self.fits(newest.txn.kb * (self.facts.run_factor - 1)):
@@ -366,8 +363,7 @@
         end = min(case.wanted, self.stop) - MARGIN
         if len(self.hold_list) <= (case.state == State.HELD):
             return self.now > end
-        rest = int(REST * (case.wanted - case.arrived))
-        return self.now + self.needs(case) > end or self.now > case.wanted - rest
+        return self.now + self.needs(case) > end or self.now > case.give_back
 
     def unwanted(self, case: Case) -> bool:
         return (case.arrived > self.last_arrival or self.past(case) or self.late(case) or self.hung()
@@ -410,7 +406,8 @@
             not 0 < self.facts.calls_share < 1 or self.call_room() > 2 * self.facts.linger)
 
     def no_call(self, case: Case) -> bool:
-        return self.broken >= BREAK_AFTER or self.now + MARGIN > case.wanted
+        """Calling has stopped, or its queue has taken so long that even a poorer answer is at stake."""
+        return self.broken >= BREAK_AFTER or self.stale(case) and self.now > case.give_back
 
     def call_room(self) -> float:
         """Where our share is under one call: what is left of it, as time of one call in hand."""
@@ -482,6 +479,7 @@
 
     def queue(self, case: Case) -> None:
         case.outcome = Outcome.STOPPED  # until a call ends well, leaving it abandons it
+        case.since = self.now - self.slept
         self.door[case.txn.ref] = case
 
     def dial(self, case: Case) -> None:
