--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -34,7 +34,7 @@
 CALLS_MIN, CROWDED, CREEP = 5, 3.0, 1.005  # calls to judge by; so much over their base is too long
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
-PRESS_GAIN, PRESS_AIM = 0.07, 0.1  # pressure goes by the share turned away, towards this one
+PRESS_GAIN, PRESS_AIM = 0.07, 0.05  # pressure goes by the share turned away, towards this one
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
