--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -457,7 +457,7 @@
         self.turned.add(self.now, 1)
         away = self.turned.total(self.now) / max(1.0, self.read.total(self.now))
         alone = self.stop < NEVER or self.struck()
-        share = 1.0 if alone else min(1.0, away)
+        share = 1.0 if alone else min(1.0, away) * self.chance()  # callers must not come back in step
         self.do.decline(case.txn.ref, int(share * self.facts.advice_max), self.press > 0.5 and not alone)
 
     def overwrite(self, case: Case) -> None:
