--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -3,7 +3,7 @@
 A line is either `set NAME=VALUE ...` (facts of the server), `product NAME=VALUE ...` (one more product; the
 first such line takes the place of the default), or a time in milliseconds, an event and what it must bring:
 
-    TIME read NAME [product=N] [cost=MS] [unread=MS] [expiry=MS] [kb=N] [customer=N] [of=NAME] -> EFFECTS
+    TIME read NAME [product=N] [cost=MS] [unread=MS] [expiry=MS] [kb=N] [rank=X] [customer=N] [of=NAME] -> ...
     TIME done NAME OUTCOME [MS]   TIME calls NAME   TIME called NAME OUTCOME   TIME left NAME
     TIME leave STOP   TIME wake [core_use=X]
 
@@ -24,8 +24,8 @@
 MS = 1_000_000
 SHOWN = {"start", "decline", "void", "call", "leave_out", "keep", "forget", "reuse"}
 PRODUCT = Product(2000 * MS, 0.0, 6000 * MS, Repeatable.INQUIRY, 0, 0.0, 0.0, 1.0)
-FACTS = ServerFacts(2, 1, 1, 1000.0, 4.0, 1.0, 5.0, False, 0.2, 10_000 * MS, 0.0, 5000 * MS, 200 * MS, 1000 * MS,
-                    1000 * MS, 0, FreeValue.NONE, 0.1, (PRODUCT,), ())
+FACTS = ServerFacts(2, 1, 1, 1000.0, 4.0, 1.0, 5.0, False, 0.2, 10_000 * MS, 0.0, 5000 * MS, 200 * MS,
+                    1000 * MS, 1000 * MS, 0, FreeValue.NONE, 0.1, (PRODUCT,), ())
 TIMES = {"sla", "expiry", "window", "warm_up", "calls_span", "linger", "grace", "advice_max", "fresh"}
 
 
@@ -61,7 +61,8 @@
         choice.arrived(now, Txn(
             len(names) - 1, 0, int(told.get("product", 0)), int(told.get("customer", 0)),
             int(told.get("cost", 0)) * MS, int(told.get("unread", 0)) * MS, int(told.get("expiry", 0)) * MS,
-            float(told.get("kb", 10)), 0.0, -1 if first == "-" else names.index(first) if first in names else -2))
+            float(told.get("kb", 10)), float(told.get("rank", 0.9)),
+            -1 if first == "-" else names.index(first) if first in names else -2))
     elif event == "wake":
         told = dict(word.split("=") for word in rest)
         choice.woke(now, 0, Gauges(core_use=float(told.get("core_use", 1))))
@@ -76,7 +77,10 @@
             {"calls": choice.at_call, "left": choice.left}[event](now, ref)
 
 
-@pytest.mark.parametrize("path", sorted((Path(__file__).parent / "scenarios").glob("*.txt")), ids=lambda p: p.stem)
+SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
 def test_scenario(path: Path) -> None:
     facts, products, choice = FACTS, [], None
     names: list[str] = []
@@ -102,7 +106,8 @@
         recorder.seen.clear()
         for now in range(int(first), int(last or first) + 1, 100):
             send(choice, names, now * MS, words)
-        got = [f"{effect} {names[values[0]]}" if effect in SHOWN else f"{effect} {values[0]}"
+        got = [f"{effect} {names[values[0]]}" if effect in SHOWN
+               else f"{effect} {round(values[0], 3) if effect == 'tell' else values[0]}"
                for effect, values in recorder.seen if effect in SHOWN or effect in wanted]
         expected = [part.strip() for part in wanted.split(",") if part.strip() not in ("", "-", "...")]
         if wanted.strip().endswith("..."):
