--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -31,10 +31,11 @@
 GAP = 3 * ROUND  # no event for this long: the process stood still
 REST = 0.5  # of its SLA time that a held txn is given back with, to be tried elsewhere
 BREAK_AFTER = 5  # calls failed in a row until calling stops
-CALLS_MIN, CROWDED, CREEP = 5, 3.0, 1.005  # calls to judge by; so much over their base is too long
+CALLS_MIN, CROWDED, CREEP = 5, 3.0, 1.005  # calls to judge by; over their base, too long; its creep upwards
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
 PRESS_GAIN, PRESS_AIM = 0.07, 0.05  # pressure goes by the share turned away, towards this one
+SPARE_LINKS, SPARE_IDLE = 4, 1000 * MS  # connections for each use, and how long one more may idle
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
@@ -107,8 +108,7 @@
 class Case:
     """A txn and where it stands."""
 
-    __slots__ = ("txn", "state", "arrived", "wanted", "give_back", "due", "since", "kept", "over", "heir",
-                 "outcome")
+    __slots__ = tuple("txn state arrived wanted give_back due since kept over heir outcome".split())
 
     def __init__(self, txn: Txn, now: int, facts: ServerFacts) -> None:
         product = facts.products[txn.product]
@@ -119,9 +119,7 @@
         sla_at = min(self.due, self.arrived + product.sla + int(product.sla_stretch * txn.cost))
         self.wanted = self.due if product.late_share else sla_at
         self.give_back = self.wanted - int(REST * (self.wanted - self.arrived))
-        self.since = 0
-        self.kept = 0
-        self.over = 0
+        self.since = self.kept = self.over = 0
         self.heir: Case | None = None
         self.outcome = Outcome.OK
 
@@ -144,7 +142,7 @@
         self.overwritten = self.exceeded = 0
         self.slept, self.moved = 0, now
         self.stop, self.last_arrival = NEVER, NEVER
-        self.good, self.press, self.told = True, 1 - self.warmth(), -1.0
+        self.good, self.spare, self.press, self.told = True, False, 1 - self.warmth(), -1.0
         self.lingering: list[int] = []
         self.broken, self.trial_at, self.timeouts = 0, 0, 0
         self.call_most = max(1.0, facts.calls_share) if facts.calls_share else facts.crowd * facts.cores
@@ -220,6 +218,11 @@
         self.pace(gauges)
         self.pace_calls()
         self.signal()
+        # Open connections cost speed, new ones work: only what far exceeds the use made of it goes early.
+        spare = gauges.links > SPARE_LINKS * (self.facts.callers + self.started())
+        if spare != self.spare:
+            self.spare = spare
+            self.do.idle(min(SPARE_IDLE, self.facts.idle) if spare else self.facts.idle)
         self.advance()
 
     # The loop.
--- a/burlloom/interface.py
+++ b/burlloom/interface.py
@@ -70,6 +70,7 @@
     grace: int
     advice_max: int
     fresh: int
+    idle: int
     free_value: FreeValue
     over_share_value: float
     products: tuple[Product, ...]
--- a/burlloom/wirehost/codec.py
+++ b/burlloom/wirehost/codec.py
@@ -94,6 +94,7 @@
         grace=int(rules["drain_grace"]) * MICRO,
         advice_max=advice * MICRO,
         fresh=int(extra.get("fresh_for") or 0) * MICRO,
+        idle=int(extra.get("idle") or 0) * MICRO,
         free_value=FREE_VALUE[extra.get("say", "off")],
         over_share_value=float(got.get("over_share_worth", 1.0)),
         products=products,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,7 +5,7 @@
 
     TIME read NAME [product=N] [cost=MS] [unread=MS] [expiry=MS] [kb=N] [rank=X] [customer=N] [of=NAME] -> ...
     TIME done NAME OUTCOME [MS]   TIME calls NAME   TIME called NAME OUTCOME   TIME left NAME
-    TIME leave STOP   TIME wake [core_use=X]
+    TIME leave STOP   TIME wake [core_use=X] [links=N]
 
 EFFECTS are what the txns meet, in order: `start a, decline b`; `-` is none; `...` at the end allows more. A
 `wake` line repeated as `FROM..TO wake` plays a round each 100 ms and looks at the effects of them all.
@@ -25,8 +25,8 @@
 SHOWN = {"start", "decline", "void", "call", "leave_out", "keep", "forget", "reuse"}
 PRODUCT = Product(2000 * MS, 0.0, 6000 * MS, Repeatable.INQUIRY, 0, 0.0, 0.0, 1.0)
 FACTS = ServerFacts(2, 1, 1, 1000.0, 4.0, 1.0, 5.0, False, 0.2, 10_000 * MS, 0.0, 5000 * MS, 200 * MS,
-                    1000 * MS, 1000 * MS, 0, FreeValue.NONE, 0.1, (PRODUCT,), ())
-TIMES = {"sla", "expiry", "window", "warm_up", "calls_span", "linger", "grace", "advice_max", "fresh"}
+                    1000 * MS, 1000 * MS, 0, 9000 * MS, FreeValue.NONE, 0.1, (PRODUCT,), ())
+TIMES = {"sla", "expiry", "window", "warm_up", "calls_span", "linger", "grace", "advice_max", "fresh", "idle"}
 
 
 class Recorder:
@@ -65,7 +65,7 @@
             -1 if first == "-" else names.index(first) if first in names else -2))
     elif event == "wake":
         told = dict(word.split("=") for word in rest)
-        choice.woke(now, 0, Gauges(core_use=float(told.get("core_use", 1))))
+        choice.woke(now, 0, Gauges(core_use=float(told.get("core_use", 1)), links=float(told.get("links", 0))))
     elif event == "leave":
         choice.leaving(now, int(rest[0]) * MS)
     else:
