--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -35,7 +35,7 @@
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
 PRESS_GAIN, PRESS_AIM = 0.07, 0.05  # pressure goes by the share turned away, towards this one
-SPARE_LINKS, SPARE_IDLE = 4, 1000 * MS  # connections for each use, and how long one more may idle
+SPARE_LINKS, SPARE_IDLE, IDLE_CREEP = 4, 1000 * MS, 1.05  # connections for each use, then how long one may idle
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
@@ -140,7 +140,7 @@
         self.keys = self.overwritten = self.exceeded = 0
         self.slept, self.moved = 0, now
         self.stop, self.last_arrival = NEVER, NEVER
-        self.good, self.spare, self.press, self.told = True, False, 1 - self.warmth(), -1.0
+        self.good, self.idle, self.press, self.told = True, float(facts.idle), 1 - self.warmth(), -1.0
         self.lingering: list[int] = []
         self.broken, self.trial_at, self.timeouts = 0, 0, 0
         self.call_most = max(1.0, facts.calls_share) if facts.calls_share else facts.crowd * facts.cores
@@ -217,11 +217,12 @@
         self.pace(gauges)
         self.pace_calls()
         self.signal()
-        # Open connections cost speed, new ones work: only what far exceeds the use made of it goes early.
-        spare = gauges.links > SPARE_LINKS * (self.facts.callers + self.started())
-        if spare != self.spare:
-            self.spare = spare
-            self.do.idle(min(SPARE_IDLE, self.facts.idle) if spare else self.facts.idle)
+        # Open connections cost speed and fill the table, new ones work. Against callers too many to come back
+        # before their connection goes: where few are in use the idle time falls by a factor, else it creeps up.
+        spare = gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live))
+        self.idle = max(SPARE_IDLE, self.idle * CUT) if spare else min(self.facts.idle, self.idle * IDLE_CREEP)
+        if self.facts.idle:
+            self.do.idle(int(self.idle))
         self.advance()
 
     # The loop.
@@ -509,7 +510,7 @@
 
     def pace(self, gauges: Gauges) -> None:
         oldest = self.oldest()
-        idle = 0 <= gauges.core_use < IDLE_USE
+        idle = 0 <= gauges.core_use < IDLE_USE and gauges.on_cores < self.facts.cores
         if oldest is not None and idle:
             self.limit += not self.door  # cores that idle behind crowded calls need no more starts
         elif not idle and (self.timeouts or oldest is not None and self.stale(oldest)):
