--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -510,7 +510,7 @@
 
     def pace(self, gauges: Gauges) -> None:
         oldest = self.oldest()
-        idle = 0 <= gauges.core_use < IDLE_USE and gauges.on_cores < self.facts.cores
+        idle = 0 <= gauges.core_use < IDLE_USE and gauges.on_cores <= self.facts.cores
         if oldest is not None and idle:
             self.limit += not self.door  # cores that idle behind crowded calls need no more starts
         elif not idle and (self.timeouts or oldest is not None and self.stale(oldest)):
