--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -511,10 +511,10 @@
 
     def pace(self, gauges: Gauges) -> None:
         oldest = self.oldest()
-        busy = not 0 <= gauges.core_use < IDLE_USE
-        if oldest is not None and not busy and gauges.on_cores <= self.facts.cores:
+        idle = 0 <= gauges.core_use < IDLE_USE and gauges.on_cores <= self.facts.cores
+        if oldest is not None and idle:
             self.limit += not self.door  # cores that idle behind crowded calls need no more starts
-        elif busy and (self.timeouts or oldest is not None and self.stale(oldest)):
+        elif not idle and (self.timeouts or oldest is not None and self.stale(oldest)):
             self.limit *= CUT
         self.timeouts = 0
         self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
