--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -401,7 +401,7 @@
                 or self.over_share(case) or case.txn.rank < self.level())
 
     def crammed(self, case: Case) -> bool:
-        return (not self.fits(0) or bool(self.hold_list) and case.txn.rank < self.level()
+        return (not self.fits(0) or len(self.hold_list) >= self.limit and case.txn.rank < self.level()
                 or len(self.hold_list) >= HOLD_RUNS * self.limit
                 or self.held_kb + case.txn.kb > HOLD_SHARE * self.facts.memory_kb)
 
