--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -546,7 +546,8 @@
         elif facts.free_value is FreeValue.WEIGHT:
             value = 1 - self.press if good else 0.0
         elif facts.free_value is FreeValue.ALLOWANCE:
-            value = self.limit * (1 + ROOMY * (1 - self.press)) / max(1, facts.callers) if good else 0.0
+            here = {case.txn.caller for case in self.live.values()}
+            value = self.limit * (1 + ROOMY * (1 - self.press)) / max(1, len(here)) if good else 0.0
         else:
             return
         if abs(value - self.told) > 0.01:
