--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -21,7 +21,7 @@
 JOSTLE = 200 * MS  # a held txn older than this may be ousted
 MARGIN = 20 * MS  # an answer's way out
 CUT = 0.7  # what is left of the run limit after a cut
-IDLE_USE, IDLE_WANT = 0.9, 1.5  # cores are idle while used less than this and wanted by no more for each
+IDLE_USE = 0.9  # cores used less than this are idle
 HOLD_RUNS = 3  # held txns for each that may run: more would only be answered late
 HOLD_SHARE = 0.25  # of memory, for the hold
 MEMORY_SHARE = 0.97  # of memory, for everything
@@ -511,7 +511,7 @@
 
     def pace(self, gauges: Gauges) -> None:
         oldest = self.oldest()
-        idle = 0 <= gauges.core_use < IDLE_USE and gauges.on_cores <= IDLE_WANT * self.facts.cores
+        idle = 0 <= gauges.core_use < IDLE_USE and gauges.on_cores <= self.facts.cores
         if oldest is not None and idle:
             self.limit += not self.door  # cores that idle behind crowded calls need no more starts
         elif not idle and (self.timeouts or oldest is not None and self.stale(oldest)):
