--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -35,7 +35,7 @@
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
 PRESS_GAIN, PRESS_AIM = 0.07, 0.05  # pressure goes by the share turned away, towards this one
-SPARE_LINKS, SPARE_IDLE, SPARE_PRESS = 4, 1000 * MS, 0.9  # connections for each use, then how long one may idle
+SPARE_LINKS, SPARE_IDLE, SPARE_TURNED = 4, 1000 * MS, 0.3  # connections for each use, then how long one may idle
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
@@ -220,7 +220,8 @@
         # Open connections cost speed and fill the table, new ones work. Against callers too many to come back
         # before their connection goes: where few are in use the idle time falls by a factor. A full table turns
         # newcomers back unread, which is cheaper under pressure: then it grows again.
-        spare = gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live)) and self.press < SPARE_PRESS
+        flooded = self.turned_share() > SPARE_TURNED and gauges.core_use >= IDLE_USE
+        spare = gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live)) and not flooded
         self.idle = max(SPARE_IDLE, self.idle * CUT) if spare else min(self.facts.idle, self.idle / CUT)
         if self.facts.idle:
             self.do.idle(int(self.idle))
