--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -548,7 +548,7 @@
             value = 1 - self.press if good else 0.0
         elif facts.free_value is FreeValue.ALLOWANCE:
             here = {case.txn.caller for case in self.live.values()}
-            value = self.limit * (HOLD_RUNS + ROOMY * (1 - self.press)) / max(1, len(here)) if good else 0.0
+            value = self.limit * (1 + ROOMY * (1 - self.press)) / max(1, len(here)) if good else 0.0
         else:
             return
         if abs(value - self.told) > 0.01:
