--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -148,7 +148,6 @@
         self.call_times, self.calls = Ring(1000 * MS), Ring(1000 * MS)
         self.in_hand = Ring(max(facts.calls_span, 10))
         self.took = [(Ring(5000 * MS), Ring(5000 * MS)) for _ in facts.products]
-        self.raised = Ring(500 * MS)
         self.ends, self.bad_ends = Ring(2000 * MS), Ring(2000 * MS)
         self.read, self.turned, self.unread = Ring(1000 * MS), Ring(1000 * MS), Ring(1000 * MS)
         self.top = 1 - 1 / len({product.value for product in facts.products})  # the highest value stays above
@@ -513,13 +512,10 @@
 
     def pace(self, gauges: Gauges) -> None:
         oldest = self.oldest()
-        # The use of the cores is told as a late mean: what was added since is counted in, or the limit overshoots.
-        hidden = self.raised.total(self.now) / self.facts.cores
-        idle = 0 <= gauges.core_use < IDLE_USE - hidden
+        idle = 0 <= gauges.core_use < IDLE_USE and gauges.on_cores <= self.facts.cores
         if oldest is not None and idle:
             self.limit += not self.door  # cores that idle behind crowded calls need no more starts
-            self.raised.add(self.now, not self.door)
-        elif gauges.on_cores > self.facts.cores and (self.timeouts or oldest is not None and self.stale(oldest)):
+        elif not idle and (self.timeouts or oldest is not None and self.stale(oldest)):
             self.limit *= CUT
         self.timeouts = 0
         self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
