--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -28,7 +28,7 @@
 CROWD_SHARE = 0.85  # of the crowd that kills
 STALL = 1000 * MS  # no run moves for this long: work hangs
 BEHIND = 0.5  # of the shortest SLA time: reading that lags more leaves no time to serve
-LATE = 20 * MS  # a round later than this: the process stood still
+GAP = 3 * ROUND  # no event for this long: the process stood still
 REST = 0.5  # of its SLA time that a held txn is given back with, to be tried elsewhere
 BREAK_AFTER = 5  # calls failed in a row until calling stops
 CALLS_MIN, CROWDED, CREEP = 5, 3.0, 1.005  # calls to judge by; over their base, too long; its creep upwards
@@ -138,7 +138,7 @@
         self.spent: list[Case] = []
         self.kb = self.held_kb = 0.0
         self.keys = self.overwritten = self.exceeded = 0
-        self.slept, self.moved, self.round_at = 0, now, now + ROUND
+        self.slept, self.moved = 0, now
         self.stop, self.last_arrival = NEVER, NEVER
         self.good, self.idle, self.press, self.told = True, float(facts.idle), 1 - self.warmth(), -1.0
         self.lingering: list[int] = []
@@ -210,7 +210,6 @@
 
     def woke(self, now: int, handle: int, gauges: Gauges) -> None:
         self.tick(now)
-        self.round_at = now + ROUND
         self.do.wake(ROUND, handle)
         for case in list(self.live.values()):
             self.feed(case, Input.ROUND)
@@ -231,13 +230,11 @@
     # The loop.
 
     def tick(self, now: int) -> None:
-        # A pause of the whole process lets every held txn look stale though no newcomer waited longer: by as much
-        # as the round is late, none has aged. A timer that is late for another reason lengthens lives by as much.
-        pause = now - self.round_at
-        if pause > LATE:
-            self.slept += pause
-            self.moved += pause
-            self.round_at = now
+        # A pause of the whole process lets every held txn look stale though no newcomer waited longer:
+        # the part of a gap that no timer round explains is left out of their ages.
+        if now - self.now > GAP:
+            self.slept += now - self.now - ROUND
+            self.moved += now - self.now - ROUND
         self.in_hand.add(now, (now - self.now) * (self.count[State.CALL] + len(self.lingering)))
         self.now = now
 
