--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -220,7 +220,7 @@
         # Open connections cost speed and fill the table, new ones work. Against callers too many to come back
         # before their connection goes: where few are in use the idle time falls by a factor. A full table turns
         # newcomers back unread, which is cheaper under pressure: then it grows again.
-        flooded = self.turned_share() > SPARE_TURNED and gauges.core_use >= IDLE_USE
+        flooded = self.turned_share() > SPARE_TURNED and gauges.core_use >= 0.9
         spare = gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live)) and not flooded
         self.idle = max(SPARE_IDLE, self.idle * CUT) if spare else min(self.facts.idle, self.idle / CUT)
         if self.facts.idle:
@@ -512,7 +512,7 @@
 
     def pace(self, gauges: Gauges) -> None:
         oldest = self.oldest()
-        idle = 0 <= gauges.core_use < IDLE_USE and gauges.on_cores <= self.facts.cores
+        idle = 0 <= gauges.core_use < IDLE_USE and gauges.on_cores < self.facts.cores
         if oldest is not None and idle:
             self.limit += not self.door  # cores that idle behind crowded calls need no more starts
         elif not idle and (self.timeouts or oldest is not None and self.stale(oldest)):
