--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -21,7 +21,7 @@
 JOSTLE = 200 * MS  # a held txn older than this may be ousted
 MARGIN = 20 * MS  # an answer's way out
 CUT = 0.7  # what is left of the run limit after a cut
-IDLE_USE = 0.97  # cores used less than this are idle
+IDLE_USE, JAMMED = 0.97, 1.5  # cores used less are idle; a cut needs more than this wanting each
 HOLD_RUNS = 3  # held txns for each that may run: more would only be answered late
 HOLD_SHARE = 0.25  # of memory, for the hold
 MEMORY_SHARE = 0.97  # of memory, for everything
@@ -35,7 +35,7 @@
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
 PRESS_GAIN, PRESS_AIM = 0.07, 0.05  # pressure goes by the share turned away, towards this one
-SPARE_LINKS, SPARE_IDLE, SPARE_TURNED = 4, 1000 * MS, 0.3  # connections for each use, then how long one may idle
+SPARE_LINKS, SPARE_IDLE, SPARE_TURNED, BUSY = 4, 1000 * MS, 0.3, 0.9  # connections for each use, then how long one may idle
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
@@ -220,7 +220,7 @@
         # Open connections cost speed and fill the table, new ones work. Against callers too many to come back
         # before their connection goes: where few are in use the idle time falls by a factor. A full table turns
         # newcomers back unread, which is cheaper under pressure: then it grows again.
-        flooded = self.turned_share() > SPARE_TURNED and gauges.core_use >= 0.9
+        flooded = self.turned_share() > SPARE_TURNED and gauges.core_use >= BUSY
         spare = gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live)) and not flooded
         self.idle = max(SPARE_IDLE, self.idle * CUT) if spare else min(self.facts.idle, self.idle / CUT)
         if self.facts.idle:
@@ -515,7 +515,7 @@
         idle = 0 <= gauges.core_use < IDLE_USE and gauges.on_cores < self.facts.cores
         if oldest is not None and idle:
             self.limit += not self.door  # cores that idle behind crowded calls need no more starts
-        elif not idle and (self.timeouts or oldest is not None and self.stale(oldest)):
+        elif gauges.on_cores > JAMMED * self.facts.cores and (self.timeouts or oldest is not None and self.stale(oldest)):
             self.limit *= CUT
         self.timeouts = 0
         self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
