--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -467,7 +467,7 @@
         self.turned.add(self.now, 1)
         alone = self.stop < NEVER or self.struck()
         share = 1.0 if alone else min(1.0, self.turned_share()) * self.chance()  # callers must not come back in step
-        self.do.decline(case.txn.ref, int(share * self.facts.advice_max), self.press > 0.9 and not alone)
+        self.do.decline(case.txn.ref, int(share * self.facts.advice_max), self.press > 0.2 and not alone)
 
     def overwrite(self, case: Case) -> None:
         self.overwritten += 1
