--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -34,7 +34,7 @@
 CALLS_MIN, CROWDED, CREEP = 5, 3.0, 1.005  # calls to judge by; over their base, too long; its creep upwards
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
-PRESS_GAIN, PRESS_AIM = 0.07, 0.05  # pressure goes by the share turned away, towards this one
+PRESS_GAIN, PRESS_AIM = 0.07, 0.1  # pressure goes by the share turned away, towards this one
 SPARE_LINKS, SPARE_IDLE, SPARE_TURNED, BUSY = 4, 1000 * MS, 0.3, 0.9  # connections for each use, then how long one may idle
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
