--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -310,6 +310,9 @@
     def turned_share(self) -> float:
         return self.turned.total(self.now) / max(1.0, self.read.total(self.now))
 
+    def unread_mean(self) -> float:
+        return self.unread.total(self.now) / max(1.0, self.read.total(self.now))
+
     def needs(self, case: Case) -> float:
         times, costs = self.took[case.txn.product]
         cost = costs.total(self.now)
@@ -336,8 +339,7 @@
         Against a crawling server that goes on drawing its share of arrivals only to decline them late; meets
         any cause of that. It may harm when the whole fleet is struck: then all send callers elsewhere.
         """
-        behind = self.unread.total(self.now) > self.lag * max(1.0, self.read.total(self.now))
-        return behind or self.hung() or self.ailing() >= 0.5
+        return self.unread_mean() > self.lag or self.hung() or self.ailing() >= 0.5
 
     def calls_in_hand(self) -> int:
         self.lingering = [until for until in self.lingering if until > self.now]
@@ -519,7 +521,9 @@
             self.limit *= CUT
         self.timeouts = 0
         self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
-        self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (self.turned_share() - PRESS_AIM)))
+        # What waits unread is turned away by nobody yet, but the cores are as short: a lag presses too.
+        strain = max(self.turned_share(), self.unread_mean() / self.lag)
+        self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (min(1.0, strain) - PRESS_AIM)))
 
     def pace_calls(self) -> None:
         """The same steps for calls: what lies below slows all its callers long before our share of it is up.
