--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -522,7 +522,7 @@
         self.timeouts = 0
         self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
         # What waits unread is turned away by nobody yet, but the cores are as short: a lag presses too.
-        strain = max(self.turned_share(), self.unread_mean() / self.lag)
+        strain = max(self.turned_share(), 0.5 * self.unread_mean() / self.lag)
         self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (min(1.0, strain) - PRESS_AIM)))
 
     def pace_calls(self) -> None:
