--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -27,7 +27,7 @@
 MEMORY_SHARE = 0.97  # of memory, for everything
 CROWD_SHARE = 0.85  # of the crowd that kills
 STALL = 1000 * MS  # no run moves for this long: work hangs
-BEHIND = 0.5  # of the shortest SLA time: reading that lags more leaves no time to serve
+BEHIND = 1.0  # of the shortest SLA time: reading that lags more leaves no time to serve
 GAP = 3 * ROUND  # no event for this long: the process stood still
 REST = 0.5  # of its SLA time that a held txn is given back with, to be tried elsewhere
 BREAK_AFTER = 5  # calls failed in a row until calling stops
@@ -522,7 +522,7 @@
         self.timeouts = 0
         self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
         # What waits unread is turned away by nobody yet, but the cores are as short: a lag presses too.
-        strain = max(self.turned_share(), 0.5 * self.unread_mean() / self.lag)
+        strain = max(self.turned_share(), self.unread_mean() / self.lag)
         self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (min(1.0, strain) - PRESS_AIM)))
 
     def pace_calls(self) -> None:
