--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -21,13 +21,12 @@
 JOSTLE = 200 * MS  # a held txn older than this may be ousted
 MARGIN = 20 * MS  # an answer's way out
 CUT = 0.7  # what is left of the run limit after a cut
-IDLE_USE, JAMMED = 0.97, 1.5  # cores used less are idle; a cut needs more than this wanting each
+IDLE_USE, JAMMED = 0.97, 1.5  # cores used less are idle; more than this wanting each is a jam
 HOLD_RUNS = 2  # held txns for each that may run: more would only be answered late
 HOLD_SHARE = 0.25  # of memory, for the hold
 MEMORY_SHARE = 0.97  # of memory, for everything
 CROWD_SHARE = 0.85  # of the crowd that kills
 STALL = 1000 * MS  # no run moves for this long: work hangs
-BEHIND = 1.0  # of the shortest SLA time: reading that lags more leaves no time to serve
 GAP = 3 * ROUND  # no event for this long: the process stood still
 REST = 0.5  # of its SLA time that a held txn is given back with, to be tried elsewhere
 BREAK_AFTER = 5  # calls failed in a row until calling stops
@@ -35,7 +34,8 @@
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
 PRESS_GAIN, PRESS_AIM = 0.07, 0.1  # pressure goes by the share turned away, towards this one
-SPARE_LINKS, SPARE_IDLE, SPARE_TURNED, BUSY = 4, 1000 * MS, 0.3, 0.9  # connections for each use, then how long one may idle
+SPARE_LINKS, SPARE_IDLE = 4, 1000 * MS  # connections for each use, and how long one more may idle
+FLOOD_USE, FLOOD = 0.9, 0.3  # cores used more, and more turned away: connections are let stand
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
@@ -140,7 +140,7 @@
         self.keys = self.overwritten = self.exceeded = 0
         self.slept, self.moved = 0, now
         self.stop, self.last_arrival = NEVER, NEVER
-        self.good, self.idle, self.press, self.told = True, float(facts.idle), 1 - self.warmth(), -1.0
+        self.good, self.idle, self.press, self.told = True, facts.idle, 1 - self.warmth(), -1.0
         self.lingering: list[int] = []
         self.broken, self.trial_at, self.timeouts = 0, 0, 0
         self.call_most = max(1.0, facts.calls_share) if facts.calls_share else facts.crowd * facts.cores
@@ -151,7 +151,7 @@
         self.ends, self.bad_ends = Ring(2000 * MS), Ring(2000 * MS)
         self.read, self.turned, self.unread = Ring(1000 * MS), Ring(1000 * MS), Ring(1000 * MS)
         self.top = 1 - 1 / len({product.value for product in facts.products})  # the highest value stays above
-        self.lag = BEHIND * min(product.sla for product in facts.products)
+        self.lag = min(product.sla for product in facts.products)
         self.customers = [Ring(2000 * MS) for _ in facts.customer_rates]
 
     # What the host calls.
@@ -217,14 +217,7 @@
         self.pace(gauges)
         self.pace_calls()
         self.signal()
-        # Open connections cost speed and fill the table, new ones work. Against callers too many to come back
-        # before their connection goes: where few are in use the idle time falls by a factor. A full table turns
-        # newcomers back unread, which is cheaper under pressure: then it grows again.
-        flooded = self.turned_share() > SPARE_TURNED and gauges.core_use >= BUSY
-        spare = gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live)) and not flooded
-        self.idle = max(SPARE_IDLE, self.idle * CUT) if spare else min(self.facts.idle, self.idle / CUT)
-        if self.facts.idle:
-            self.do.idle(int(self.idle))
+        self.pace_links(gauges)
         self.advance()
 
     # The loop.
@@ -513,17 +506,36 @@
         self.spent = rest
 
     def pace(self, gauges: Gauges) -> None:
+        """The use of the cores is told as a late mean: by it alone the limit overshoots while they fill.
+
+        What wants a core at the moment guards against that. Between idle and jammed the limit stays, since reads
+        and new connections come and go, and runs that wait for disks leave cores to others.
+        """
         oldest = self.oldest()
-        idle = 0 <= gauges.core_use < IDLE_USE and gauges.on_cores < self.facts.cores
-        if oldest is not None and idle:
+        want = (gauges.on_cores if gauges.on_cores >= 0 else self.started()) / self.facts.cores
+        if oldest is not None and want < 1 and gauges.core_use < IDLE_USE:
             self.limit += not self.door  # cores that idle behind crowded calls need no more starts
-        elif gauges.on_cores > JAMMED * self.facts.cores and (self.timeouts or oldest is not None and self.stale(oldest)):
+        elif want > JAMMED and (self.timeouts or oldest is not None and self.stale(oldest)):
             self.limit *= CUT
         self.timeouts = 0
         self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
         # What waits unread is turned away by nobody yet, but the cores are as short: a lag presses too.
-        strain = max(self.turned_share(), self.unread_mean() / self.lag)
-        self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (min(1.0, strain) - PRESS_AIM)))
+        strain = min(1.0, max(self.turned_share(), self.unread_mean() / self.lag))
+        self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (strain - PRESS_AIM)))
+
+    def pace_links(self, gauges: Gauges) -> None:
+        """Against more callers than the table holds, most of whom come back only after their connection went.
+
+        Each open connection costs speed and each new one work, so those far beyond the use made of them go early.
+        But a full table turns newcomers back unread: where cores are full and much is turned away, the cheapest
+        answer of all. It may harm those who come seldom to a server that declines for a reason of its own.
+        """
+        flooded = gauges.core_use >= FLOOD_USE and self.turned_share() > FLOOD
+        spare = not flooded and gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live))
+        idle = min(self.facts.idle, max(SPARE_IDLE, int(self.idle * CUT)) if spare else int(self.idle / CUT))
+        if idle != self.idle:
+            self.idle = idle
+            self.do.idle(idle)
 
     def pace_calls(self) -> None:
         """The same steps for calls: what lies below slows all its callers long before our share of it is up.
