--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -33,7 +33,7 @@
 CALLS_MIN, CROWDED, CREEP = 5, 3.0, 1.005  # calls to judge by; over their base, too long; its creep upwards
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
-PRESS_GAIN, PRESS_AIM = 0.07, 0.1  # pressure goes by the share turned away, towards this one
+PRESS_GAIN, PRESS_AIM, FINAL = 0.07, 0.1, 0.2  # pressure goes by the share turned away, towards this one
 SPARE_LINKS, SPARE_IDLE = 4, 1000 * MS  # connections for each use, and how long one more may idle
 FLOOD_USE, FLOOD = 0.9, 0.3  # cores used more, and more turned away: connections are let stand
 ROOMY = 4.0  # allowance at no pressure, over the run limit
@@ -152,7 +152,6 @@
         self.read, self.turned, self.unread = Ring(1000 * MS), Ring(1000 * MS), Ring(1000 * MS)
         self.top = 1 - 1 / len({product.value for product in facts.products})  # the highest value stays above
         self.lag = min(product.sla for product in facts.products)
-        self.customers = [Ring(2000 * MS) for _ in facts.customer_rates]
 
     # What the host calls.
 
@@ -167,8 +166,6 @@
         self.kb += txn.kb
         self.read.add(now, 1)
         self.unread.add(now, txn.unread)
-        if self.customers:
-            self.customers[txn.customer].add(now, 1)
         self.feed(case, Input.READ)
         self.advance()
 
@@ -327,10 +324,10 @@
         return share if share >= AILING_FROM else 0.0
 
     def struck(self) -> bool:
-        """This server does far worse than others can be expected to: it hangs, fails, or reads far too late.
+        """Far worse than others can be expected to be: it hangs, fails, or reads a whole SLA time late.
 
-        Against a crawling server that goes on drawing its share of arrivals only to decline them late; meets
-        any cause of that. It may harm when the whole fleet is struck: then all send callers elsewhere.
+        Against a crawling server that draws its share of arrivals only to decline them late. A lesser lag may
+        be a jam of all, in which those that send their callers elsewhere jam the rest for good.
         """
         return self.unread_mean() > self.lag or self.hung() or self.ailing() >= 0.5
 
@@ -362,9 +359,8 @@
     def late(self, case: Case) -> bool:
         """It can't make its SLA time here, or not here but perhaps elsewhere.
 
-        With nobody else waiting a run costs nobody a turn: only time that is surely up counts, for a hint may
-        be wrong and a large txn would be declined everywhere. With others, newer ones go first, and an answer
-        too late to be tried elsewhere is a loss to all. It may harm where callers never try elsewhere.
+        Alone it costs nobody a turn: only time that is surely up counts, as hints may be wrong. With others,
+        newer ones go first, and an answer too late to be tried elsewhere is lost; harms where none are tried.
         """
         end = min(case.wanted, self.stop) - MARGIN
         if len(self.hold_list) <= (case.state == State.HELD):
@@ -375,13 +371,6 @@
         return (case.arrived > self.last_arrival or self.past(case) or self.late(case) or self.hung()
                 or self.chance() < self.ailing())
 
-    def over_share(self, case: Case) -> bool:
-        # Against one customer that crowds out the others: only where someone has to lose. Declining it sooner
-        # costs more than it saves, since each decline is tried and read again elsewhere.
-        who = case.txn.customer
-        return bool(self.customers) and (
-            self.customers[who].total(self.now) > 2 * self.facts.customer_rates[who] / self.facts.servers)
-
     def no_entry(self, case: Case) -> bool:
         product = self.facts.products[case.txn.product]
         if product.repeatable is not Repeatable.REFERENCED:
@@ -394,7 +383,7 @@
         if not self.crammed(case) or first is not None and first.state == State.HELD:
             return False
         return (oldest is None or not self.stale(oldest) or not self.fits(-oldest.txn.kb)
-                or self.over_share(case) or case.txn.rank < self.level())
+                or case.txn.rank < self.level())
 
     def crammed(self, case: Case) -> bool:
         return (not self.fits(0) or len(self.hold_list) >= self.limit and case.txn.rank < self.level()
@@ -461,8 +450,8 @@
         self.drop(case)
         self.turned.add(self.now, 1)
         alone = self.stop < NEVER or self.struck()
-        share = 1.0 if alone else min(1.0, self.turned_share()) * self.chance()  # callers must not come back in step
-        self.do.decline(case.txn.ref, int(share * self.facts.advice_max), self.press > 0.2 and not alone)
+        share = 1.0 if alone else min(1.0, self.turned_share()) * self.chance()  # not all back at one time
+        self.do.decline(case.txn.ref, int(share * self.facts.advice_max), self.press > FINAL and not alone)
 
     def overwrite(self, case: Case) -> None:
         self.overwritten += 1
@@ -506,11 +495,8 @@
         self.spent = rest
 
     def pace(self, gauges: Gauges) -> None:
-        """The use of the cores is told as a late mean: by it alone the limit overshoots while they fill.
-
-        What wants a core at the moment guards against that. Between idle and jammed the limit stays, since reads
-        and new connections come and go, and runs that wait for disks leave cores to others.
-        """
+        # The use of the cores is told as a late mean, by which alone the limit overshoots while they fill: what
+        # wants a core at the moment counts too. In between it stays: reads come and go, runs wait for disks.
         oldest = self.oldest()
         want = (gauges.on_cores if gauges.on_cores >= 0 else self.started()) / self.facts.cores
         if oldest is not None and want < 1 and gauges.core_use < IDLE_USE:
@@ -526,9 +512,9 @@
     def pace_links(self, gauges: Gauges) -> None:
         """Against more callers than the table holds, most of whom come back only after their connection went.
 
-        Each open connection costs speed and each new one work, so those far beyond the use made of them go early.
-        But a full table turns newcomers back unread: where cores are full and much is turned away, the cheapest
-        answer of all. It may harm those who come seldom to a server that declines for a reason of its own.
+        Open ones cost speed and new ones work: those far beyond the use made of them go early. But a full
+        table turns newcomers back unread, the cheapest answer where cores are full and much is turned away.
+        It may harm those who come seldom to a server that declines for a reason of its own.
         """
         flooded = gauges.core_use >= FLOOD_USE and self.turned_share() > FLOOD
         spare = not flooded and gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live))
@@ -540,8 +526,7 @@
     def pace_calls(self) -> None:
         """The same steps for calls: what lies below slows all its callers long before our share of it is up.
 
-        Meets a slow or crowded dependency; harms where calls grow longer for a reason of their own, until the
-        base that they are held against has crept up.
+        Harms where calls grow longer for a reason of their own, until the base they are held to has crept up.
         """
         count = self.calls.total(self.now)
         if count >= CALLS_MIN:
--- a/burlloom/interface.py
+++ b/burlloom/interface.py
@@ -2,7 +2,7 @@
 
 Whoever hosts a `Choice` (the bench adapter now, the server later) builds a `ServerFacts`, implements
 `Effects`, and calls the methods that the head of `choice.py` lists. All times are whole nanoseconds on
-the host's clock; txns, products, customers and callers are small indices that the host gives out.
+the host's clock; txns, products and callers are small indices that the host gives out.
 """
 
 from dataclasses import dataclass
@@ -73,7 +73,6 @@
     idle: int
     free_value: FreeValue
     products: tuple[Product, ...]
-    customer_rates: tuple[float, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +82,6 @@
     ref: int
     caller: int
     product: int
-    customer: int
     cost: int
     unread: int
     expiry_at: int
--- a/burlloom/wirehost/codec.py
+++ b/burlloom/wirehost/codec.py
@@ -97,6 +97,5 @@
         idle=int(extra.get("idle") or 0) * MICRO,
         free_value=FREE_VALUE[extra.get("say", "off")],
         products=products,
-        customer_rates=tuple(float(t["quota_rps"]) for t in got.get("tenants") or ()),
     )
     return known, tuple(extra.get("meters") or ())
--- a/burlloom/wirehost/host.py
+++ b/burlloom/wirehost/host.py
@@ -156,7 +156,7 @@
 
     @staticmethod
     def txn(instance: Instance, values: list[str]) -> Txn:
-        _, _, name, caller, bits, customer, cost, product, unread, _, expiry_at, kb, rank, original = values
+        _, _, name, caller, bits, _, cost, product, unread, _, expiry_at, kb, rank, original = values
         forerunner = -1
         if original not in ("-", "0"):
             # one that this life was never given counts as run: nothing here proves that it was not
@@ -165,7 +165,6 @@
             ref=instance.admit(name),
             caller=instance.callers.setdefault(caller, len(instance.callers)),
             product=int(product),
-            customer=codec.whole(customer),
             cost=codec.nanos(cost) if codec.whole(bits) & 1 else 0,
             unread=codec.nanos(unread),
             expiry_at=codec.nanos(expiry_at),
