--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -26,7 +26,7 @@
 HOLD_SHARE = 0.25  # of memory, for the hold
 MEMORY_SHARE = 0.97  # of memory, for everything
 CROWD_SHARE = 0.85  # of the crowd that kills
-STALL = 1000 * MS  # no run moves for this long: work hangs
+STALL = 6000 * MS  # time of all runs in which none moves: work hangs; two may rest a second by chance
 GAP = 3 * ROUND  # no event for this long: the process stood still
 REST = 0.5  # of its SLA time that a held txn is given back with, to be tried elsewhere
 BREAK_AFTER = 5  # calls failed in a row until calling stops
@@ -282,10 +282,8 @@
         return self.count[State.RUN] + self.count[State.TAIL] + max(0, away - int(self.call_limit))
 
     def warmth(self) -> float:
-        facts = self.facts
-        if not facts.cold:
-            return 1.0
-        return min(1.0, facts.cold_from + (1 - facts.cold_from) * (self.now - self.born) / facts.warm_up)
+        facts, age = self.facts, self.now - self.born
+        return min(1.0, facts.cold_from + (1 - facts.cold_from) * age / facts.warm_up) if facts.cold else 1.0
 
     def ceiling(self) -> int:
         """Counts all that has started, as if all calls and disks came back together."""
@@ -298,7 +296,7 @@
         return self.fits(case.txn.kb * (self.facts.run_factor - 1))
 
     def turned_share(self) -> float:
-        return self.turned.total(self.now) / max(1.0, self.read.total(self.now))
+        return min(1.0, self.turned.total(self.now) / max(1.0, self.read.total(self.now)))
 
     def unread_mean(self) -> float:
         return self.unread.total(self.now) / max(1.0, self.read.total(self.now))
@@ -315,7 +313,8 @@
         return self.now - self.slept - case.since > JOSTLE
 
     def hung(self) -> bool:
-        return self.count[State.RUN] + self.count[State.TAIL] > 0 and self.now - self.moved > STALL
+        running = self.count[State.RUN] + self.count[State.TAIL]
+        return (self.now - self.moved) * min(running, self.facts.cores) > STALL
 
     def ailing(self) -> float:
         """The share of runs that fail here, where it is a sign and not chance."""
@@ -373,10 +372,9 @@
 
     def no_entry(self, case: Case) -> bool:
         product = self.facts.products[case.txn.product]
-        if product.repeatable is not Repeatable.REFERENCED:
-            return False
         reserve = self.facts.cores * self.facts.run_factor * case.txn.kb
-        return case.arrived + product.window <= self.now or not self.fits(self.facts.key_kb + reserve)
+        return product.repeatable is Repeatable.REFERENCED and (
+            case.arrived + product.window <= self.now or not self.fits(self.facts.key_kb + reserve))
 
     def full(self, case: Case) -> bool:
         first, oldest = self.forerunner(case), self.oldest()
@@ -394,9 +392,8 @@
         return self.press * self.top
 
     def may_call(self) -> bool:
-        if self.broken >= BREAK_AFTER and (self.now < self.trial_at or self.count[State.CALL]):
-            return False
-        return self.calls_in_hand() < int(self.call_limit) and (
+        trial = self.now >= self.trial_at and not self.count[State.CALL]
+        return (trial or self.broken < BREAK_AFTER) and self.calls_in_hand() < int(self.call_limit) and (
             not 0 < self.facts.calls_share < 1 or self.call_room() > 2 * self.facts.linger)
 
     def no_call(self, case: Case) -> bool:
@@ -450,7 +447,7 @@
         self.drop(case)
         self.turned.add(self.now, 1)
         alone = self.stop < NEVER or self.struck()
-        share = 1.0 if alone else min(1.0, self.turned_share()) * self.chance()  # not all back at one time
+        share = 1.0 if alone else self.turned_share() * self.chance()  # not all back at one time
         self.do.decline(case.txn.ref, int(share * self.facts.advice_max), self.press > FINAL and not alone)
 
     def overwrite(self, case: Case) -> None:
@@ -495,8 +492,8 @@
         self.spent = rest
 
     def pace(self, gauges: Gauges) -> None:
-        # The use of the cores is told as a late mean, by which alone the limit overshoots while they fill: what
-        # wants a core at the moment counts too. In between it stays: reads come and go, runs wait for disks.
+        # The use of the cores is told as a late mean, by which alone the limit overshoots while they fill:
+        # what wants a core now counts too. In between it stays: reads come and go, runs wait for disks.
         oldest = self.oldest()
         want = (gauges.on_cores if gauges.on_cores >= 0 else self.started()) / self.facts.cores
         if oldest is not None and want < 1 and gauges.core_use < IDLE_USE:
@@ -547,9 +544,9 @@
             value = self.level() if good else 1.0
         elif facts.free_value is FreeValue.WEIGHT:
             value = 1 - self.press if good else 0.0
-        elif facts.free_value is FreeValue.ALLOWANCE:
-            here = {case.txn.caller for case in self.live.values()}
-            value = self.limit * (1 + ROOMY * (1 - self.press)) / max(1, len(here)) if good else 0.0
+        elif facts.free_value is FreeValue.ALLOWANCE:  # split over those with a txn here, of thousands
+            here = len({case.txn.caller for case in self.live.values()})
+            value = self.limit * (1 + ROOMY * (1 - self.press)) / max(1, here) if good else 0.0
         else:
             return
         if abs(value - self.told) > 0.01:
