--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -514,7 +514,7 @@
         It may harm those who come seldom to a server that declines for a reason of its own.
         """
         flooded = gauges.core_use >= FLOOD_USE and self.turned_share() > FLOOD
-        spare = gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live))
+        spare = False
         idle = min(self.facts.idle, FLOOD_IDLE if flooded else SPARE_IDLE) if spare else self.facts.idle
         if idle != self.idle:
             self.idle = idle
