--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -35,7 +35,7 @@
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
 PRESS_GAIN, PRESS_AIM, FINAL = 0.07, 0.1, 0.2  # pressure goes by the share turned away, towards this one
 SPARE_LINKS, SPARE_IDLE = 4, 1000 * MS  # connections for each use, and how long one more may idle
-FLOOD_USE, FLOOD, FLOOD_IDLE = 0.9, 0.3, 12000 * MS  # cores used more, and more turned away: it fills the table
+FLOOD_USE, FLOOD = 0.9, 0.3  # cores used more, and more turned away: connections are let stand
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
@@ -514,8 +514,8 @@
         It may harm those who come seldom to a server that declines for a reason of its own.
         """
         flooded = gauges.core_use >= FLOOD_USE and self.turned_share() > FLOOD
-        spare = False
-        idle = min(self.facts.idle, FLOOD_IDLE if flooded else SPARE_IDLE) if spare else self.facts.idle
+        spare = not flooded and gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live))
+        idle = min(self.facts.idle, max(SPARE_IDLE, int(self.idle * CUT)) if spare else int(self.idle / CUT))
         if idle != self.idle:
             self.idle = idle
             self.do.idle(idle)
