--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -504,7 +504,7 @@
         self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
         # What waits unread is turned away by nobody yet, but the cores are as short: a lag presses too.
         strain = min(1.0, max(self.turned_share(), self.unread_mean() / self.lag))
-        self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (strain - PRESS_AIM)))
+        self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (strain * gauges.core_use**3 - PRESS_AIM)))
 
     def pace_links(self, gauges: Gauges) -> None:
         """Against more callers than the table holds, most of whom come back only after their connection went.
