--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -34,8 +34,8 @@
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
 PRESS_GAIN, PRESS_AIM, FINAL = 0.07, 0.1, 0.2  # pressure goes by the share turned away, towards this one
-SPARE_LINKS, SPARE_IDLE = 4, 1000 * MS  # connections for each use, and how long one more may idle
-FLOOD_USE, FLOOD = 0.9, 0.3  # cores used more, and more turned away: connections are let stand
+SPARE_LINKS, SPARE_IDLE = 4, 1000 * MS  # connections for each use, and how long one more may idle, but not
+FLOOD_USE, FLOOD = 0.9, 0.3  # where cores are used more and more is turned away
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
@@ -502,9 +502,10 @@
             self.limit *= CUT
         self.timeouts = 0
         self.limit = max(self.facts.cores, min(self.limit, self.ceiling()))
-        # What waits unread is turned away by nobody yet, but the cores are as short: a lag presses too.
-        strain = min(1.0, max(self.turned_share(), self.unread_mean() / self.lag))
-        self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (strain * gauges.core_use**3 - PRESS_AIM)))
+        # What waits unread is turned away by nobody yet, but cores are as short: a lag presses too. On few
+        # cores chance alone turns some away, which counts little while they have room (untold: none).
+        strain = min(1.0, max(self.turned_share(), self.unread_mean() / self.lag)) * abs(gauges.core_use) ** 3
+        self.press = max(0.0, min(1.0, self.press + PRESS_GAIN * (strain - PRESS_AIM)))
 
     def pace_links(self, gauges: Gauges) -> None:
         """Against more callers than the table holds, most of whom come back only after their connection went.
@@ -513,18 +514,16 @@
         table turns newcomers back unread, the cheapest answer where cores are full and much is turned away.
         It may harm those who come seldom to a server that declines for a reason of its own.
         """
-        flooded = gauges.core_use >= FLOOD_USE and self.turned_share() > FLOOD
-        spare = not flooded and gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live))
+        spare = gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live)) and not (
+            gauges.core_use >= FLOOD_USE and self.turned_share() > FLOOD)
         idle = min(self.facts.idle, max(SPARE_IDLE, int(self.idle * CUT)) if spare else int(self.idle / CUT))
         if idle != self.idle:
             self.idle = idle
             self.do.idle(idle)
 
     def pace_calls(self) -> None:
-        """The same steps for calls: what lies below slows all its callers long before our share of it is up.
-
-        Harms where calls grow longer for a reason of their own, until the base they are held to has crept up.
-        """
+        # The same steps for calls: what lies below slows all its callers long before our share of it is up.
+        # Harms where calls grow longer for a reason of their own, until the base they are held to has crept up.
         count = self.calls.total(self.now)
         if count >= CALLS_MIN:
             mean = self.call_times.total(self.now) / count
