--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -523,7 +523,7 @@
 
     def pace_calls(self) -> None:
         # The same steps for calls: what lies below slows all its callers long before our share of it is up.
-        # Harms where calls grow longer for a reason of their own, until the base they are held to has crept up.
+        # Harms where calls grow longer for a reason of their own, until their base has crept up.
         count = self.calls.total(self.now)
         if count >= CALLS_MIN:
             mean = self.call_times.total(self.now) / count
