--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -20,6 +20,7 @@
 ROUND = 100 * MS  # between timer rounds
 JOSTLE = 200 * MS  # a held txn older than this may be ousted
 MARGIN = 20 * MS  # an answer's way out
+SURE = 0.6  # of what a run is thought to need: a hint may be wrong
 CUT = 0.7  # what is left of the run limit after a cut
 IDLE_USE, JAMMED = 0.97, 1.5  # cores used less are idle; more than this wanting each is a jam
 HOLD_RUNS = 2  # held txns for each that may run: more would only be answered late
@@ -363,7 +364,7 @@
         """
         end = min(case.wanted, self.stop) - MARGIN
         if len(self.hold_list) <= (case.state == State.HELD):
-            return self.now > end
+            return self.now + self.needs(case) * SURE > end
         return self.now + self.needs(case) > end or self.now > case.give_back
 
     def unwanted(self, case: Case) -> bool:
