--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -20,7 +20,7 @@
 ROUND = 100 * MS  # between timer rounds
 JOSTLE = 200 * MS  # a held txn older than this may be ousted
 MARGIN = 20 * MS  # an answer's way out
-SURE = 0.6  # of what a run is thought to need: a hint may be wrong
+SURE = 0.6  # of what a run is thought to need
 CUT = 0.7  # what is left of the run limit after a cut
 IDLE_USE, JAMMED = 0.97, 1.5  # cores used less are idle; more than this wanting each is a jam
 HOLD_RUNS = 2  # held txns for each that may run: more would only be answered late
@@ -35,8 +35,8 @@
 TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
 PRESS_GAIN, PRESS_AIM, FINAL = 0.07, 0.1, 0.2  # pressure goes by the share turned away, towards this one
-SPARE_LINKS, SPARE_IDLE = 4, 1000 * MS  # connections for each use, and how long one more may idle, but not
-FLOOD_USE, FLOOD = 0.9, 0.3  # where cores are used more and more is turned away
+SPARE_LINKS, SPARE_IDLE = 4, 1000 * MS  # connections for each use, and how long one more may idle
+FLOOD_USE, FLOOD = 0.9, 0.3  # cores used more, and more turned away: no connection is spare
 ROOMY = 4.0  # allowance at no pressure, over the run limit
 
 NEVER = 1 << 62
@@ -359,13 +359,12 @@
     def late(self, case: Case) -> bool:
         """It can't make its SLA time here, or not here but perhaps elsewhere.
 
-        Alone it costs nobody a turn: only time that is surely up counts, as hints may be wrong. With others,
-        newer ones go first, and an answer too late to be tried elsewhere is lost; harms where none are tried.
+        Alone it costs nobody a turn, but a faster server may make what this one surely can't. With others,
+        newer ones go first, and an answer too late to be tried elsewhere is lost. Harms where hints are off.
         """
         end = min(case.wanted, self.stop) - MARGIN
-        if len(self.hold_list) <= (case.state == State.HELD):
-            return self.now + self.needs(case) * SURE > end
-        return self.now + self.needs(case) > end or self.now > case.give_back
+        sure = SURE if len(self.hold_list) <= (case.state == State.HELD) else 1.0
+        return self.now + sure * self.needs(case) > end or sure == 1.0 and self.now > case.give_back
 
     def unwanted(self, case: Case) -> bool:
         return (case.arrived > self.last_arrival or self.past(case) or self.late(case) or self.hung()
