--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -30,9 +30,8 @@
 STALL = 6000 * MS  # time of all runs in which none moves: work hangs; two may rest a second by chance
 GAP = 3 * ROUND  # no event for this long: the process stood still
 REST = 0.5  # of its SLA time that a held txn is given back with, to be tried elsewhere
-BREAK_AFTER = 5  # calls failed in a row until calling stops
+BREAK_AFTER, TRIAL = 5, 500 * MS  # calls failed in a row until calling stops; between its single trials
 CALLS_MIN, CROWDED, CREEP = 5, 3.0, 1.005  # calls to judge by; over their base, too long; its creep upwards
-TRIAL = 500 * MS  # from one single trial of a call to the next
 AILING_MIN, AILING_FROM = 6, 0.25  # ended runs, and the share of them that failed, until that is a sign
 PRESS_GAIN, PRESS_AIM, FINAL = 0.07, 0.1, 0.2  # pressure goes by the share turned away, towards this one
 SPARE_LINKS, SPARE_IDLE = 4, 1000 * MS  # connections for each use, and how long one more may idle
@@ -143,9 +142,9 @@
         self.stop, self.last_arrival = NEVER, NEVER
         self.good, self.idle, self.press, self.told = True, facts.idle, 1 - self.warmth(), -1.0
         self.lingering: list[int] = []
-        self.broken, self.trial_at, self.timeouts = 0, 0, 0
-        self.call_most = max(1.0, facts.calls_share) if facts.calls_share else facts.crowd * facts.cores
-        self.call_limit, self.call_base = max(1.0, self.call_most / 2), 0.0
+        self.broken = self.trial_at = self.timeouts = self.call_next = 0
+        self.call_most = facts.calls_share or facts.crowd * facts.cores
+        self.call_limit, self.call_base = max(min(1.0, self.call_most), self.call_most / 2), 0.0
         self.call_times, self.calls = Ring(1000 * MS), Ring(1000 * MS)
         self.in_hand = Ring(max(facts.calls_span, 10))
         self.took = [(Ring(5000 * MS), Ring(5000 * MS)) for _ in facts.products]
@@ -196,6 +195,9 @@
             self.broken = 0 if outcome is Outcome.OK else self.broken + 1
             self.trial_at = now + TRIAL
             self.timeouts += outcome is Outcome.TIMED_OUT
+            # Below one call the limit is a share of time, by chance: not all servers in step.
+            rest = 2 * took * self.chance() * (1 / min(1.0, self.call_limit) - 1)
+            self.call_next = now + int(min(2 * TRIAL, rest))
             self.call_times.add(now, took)
             self.calls.add(now, 1)
         self.meet(now, ref, Input.BACK if outcome is Outcome.OK else Input.BROKE)
@@ -280,7 +282,7 @@
     def running(self) -> int:
         """Those at a call leave the count, up to as many as may call: the rest would only queue there."""
         away = self.count[State.DOOR] + self.count[State.CALL]
-        return self.count[State.RUN] + self.count[State.TAIL] + max(0, away - int(self.call_limit))
+        return self.count[State.RUN] + self.count[State.TAIL] + max(0, away - max(1, int(self.call_limit)))
 
     def warmth(self) -> float:
         facts, age = self.facts, self.now - self.born
@@ -324,11 +326,8 @@
         return share if share >= AILING_FROM else 0.0
 
     def struck(self) -> bool:
-        """Far worse than others can be expected to be: it hangs, fails, or reads a whole SLA time late.
-
-        Against a crawling server that draws its share of arrivals only to decline them late. A lesser lag may
-        be a jam of all, in which those that send their callers elsewhere jam the rest for good.
-        """
+        # Against a crawling server that draws its share of arrivals only to decline them late. A lesser lag
+        # may be a jam of all, in which those that send callers elsewhere jam the rest.
         return self.unread_mean() > self.lag or self.hung() or self.ailing() >= 0.5
 
     def calls_in_hand(self) -> int:
@@ -392,9 +391,10 @@
         return self.press * self.top
 
     def may_call(self) -> bool:
-        trial = self.now >= self.trial_at and not self.count[State.CALL]
-        return (trial or self.broken < BREAK_AFTER) and self.calls_in_hand() < int(self.call_limit) and (
-            not 0 < self.facts.calls_share < 1 or self.call_room() > 2 * self.facts.linger)
+        if self.broken >= BREAK_AFTER and (self.now < self.trial_at or self.count[State.CALL]):
+            return False
+        return self.calls_in_hand() < max(1, int(self.call_limit)) and (not 0 < self.facts.calls_share < 1
+            or self.now >= self.call_next and self.call_room() > 2 * self.facts.linger)
 
     def no_call(self, case: Case) -> bool:
         """Calling has stopped, or its queue has taken so long that even a poorer answer is at stake."""
@@ -510,9 +510,8 @@
     def pace_links(self, gauges: Gauges) -> None:
         """Against more callers than the table holds, most of whom come back only after their connection went.
 
-        Open ones cost speed and new ones work: those far beyond the use made of them go early. But a full
-        table turns newcomers back unread, the cheapest answer where cores are full and much is turned away.
-        It may harm those who come seldom to a server that declines for a reason of its own.
+        Open ones cost speed, new ones work: those far beyond use go early. But a full table turns newcomers
+        back unread, the cheapest answer in a flood; it harms those who come seldom where that is no flood.
         """
         spare = gauges.links > SPARE_LINKS * (self.facts.cores + len(self.live)) and not (
             gauges.core_use >= FLOOD_USE and self.turned_share() > FLOOD)
@@ -527,12 +526,12 @@
         count = self.calls.total(self.now)
         if count >= CALLS_MIN:
             mean = self.call_times.total(self.now) / count
-            self.call_base = min(mean, self.call_base * CREEP) if self.call_base else mean
+            self.call_base = min(mean, self.call_base * CREEP or mean)
             if mean > CROWDED * self.call_base:
-                self.call_limit = max(1.0, self.call_limit * CUT)
+                self.call_limit = max(min(1.0, self.call_most / 4), self.call_limit * CUT)
                 return
         if self.door:
-            self.call_limit = min(self.call_most, self.call_limit + 1)
+            self.call_limit = min(self.call_most, self.call_limit + min(1.0, self.call_most / 4))
 
     def signal(self) -> None:
         facts, good = self.facts, self.stop == NEVER and not self.struck()
