Two server facts that nothing reads are no longer decoded

The allowance is split over the callers that have a txn here and customers' shares are gone, so ServerFacts.callers and ServerFacts.servers had no reader left. The scenario of the allowance loses the fact that it set, not what it expects.

--- a/burlloom/interface.py
+++ b/burlloom/interface.py
@@ -55,8 +55,6 @@
 @dataclass(frozen=True, slots=True)
 class ServerFacts:
     cores: int
-    servers: int
-    callers: int
     memory_kb: float
     run_factor: float
     key_kb: float
--- a/burlloom/wirehost/codec.py
+++ b/burlloom/wirehost/codec.py
@@ -79,8 +79,6 @@
     shared = extra.get("depends_on") == "one_for_all"
     known = ServerFacts(
         cores=int(extra["n_cores"]),
-        servers=int(got.get("servers") or 1),
-        callers=int(extra.get("callers") or 1),
         memory_kb=float(extra["memory_kb"]),
         run_factor=float(extra["blowup"]),
         key_kb=float(extra.get("key_kb") or 0.0),
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -24,7 +24,7 @@
 MS = 1_000_000
 SHOWN = {"start", "decline", "void", "call", "leave_out", "keep", "forget", "reuse"}
 PRODUCT = Product(2000 * MS, 0.0, 6000 * MS, Repeatable.INQUIRY, 0, 0.0, 0.0, 1.0)
-FACTS = ServerFacts(2, 1, 1, 1000.0, 4.0, 1.0, 5.0, False, 0.2, 10_000 * MS, 0.0, 5000 * MS, 200 * MS,
+FACTS = ServerFacts(2, 1000.0, 4.0, 1.0, 5.0, False, 0.2, 10_000 * MS, 0.0, 5000 * MS, 200 * MS,
                     1000 * MS, 1000 * MS, 0, 9000 * MS, FreeValue.NONE, (PRODUCT,))
 TIMES = {"sla", "expiry", "window", "warm_up", "calls_span", "linger", "grace", "advice_max", "fresh", "idle"}
 
