--- /dev/null
+++ b/burlloom/catalogue/pool.py
@@ -0,0 +1,149 @@
+"""Connections to the catalogue, each with one call at a time."""
+
+import asyncio
+import logging
+import socket
+import time
+from enum import Enum
+
+import httptools
+
+from ..sockets import Ended, Reason
+
+log = logging.getLogger(__name__)
+
+READ_BYTES = 16 << 10
+BODY_MOST = 1 << 20
+KEPT_FOR = 7.0  # seconds; the other side closes at 10, and a call that meets that close proves nothing
+KEPT_MOST = 32
+
+
+class Answer(Enum):
+    """What became of a call, and no more than its end proves."""
+
+    WELL = "well"
+    DECLINED = "declined"  # it never ran
+    UNWANTED = "unwanted"  # it never ran
+    UNREACHED = "unreached"  # it never ran
+    FAILED = "failed"
+    OUT_OF_TIME = "out-of-time"
+    BROKEN = "broken"
+
+
+class Reply:
+    """Collects one reply for httptools."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.pieces: list[bytes] = []
+        self.size = 0
+        self.declined = self.over = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.declined |= name.lower() == b"x-declined" and value.strip() == b"1"
+
+    def on_body(self, body: bytes) -> None:
+        self.size += len(body)
+        if self.size > BODY_MOST:
+            raise Ended(Reason.TOO_LARGE, "body of a reply")
+        self.pieces.append(body)
+
+    def on_message_complete(self) -> None:
+        self.over = True
+
+    def answer(self) -> Answer:
+        status = self.parser.get_status_code()
+        if status == 200:
+            return Answer.WELL
+        if self.declined and status in (503, 409):
+            return Answer.DECLINED if status == 503 else Answer.UNWANTED
+        return Answer.OUT_OF_TIME if status == 504 else Answer.FAILED
+
+
+class Pool:
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.address = address
+        self.host = f"{address[0]}:{address[1]}"
+        self.kept: list[tuple[socket.socket, float]] = []
+        self.open = 0
+
+    async def call(self, id: str, body: bytes, patience: float) -> tuple[Answer, bytes]:
+        """One call; given up when `patience` seconds are over, or the task is cancelled."""
+        sock, fresh = self.take()
+        reply, wrote, keep, reason, detail = Reply(), False, False, Reason.GIVEN_UP, ""
+        self.open += 1
+        try:
+            async with asyncio.timeout(max(0.0, patience)):
+                loop = asyncio.get_running_loop()
+                if fresh:
+                    await loop.sock_connect(sock, self.address)
+                wrote = True
+                await loop.sock_sendall(sock, self.text(id, body, patience))
+                await self.read(sock, reply)
+            keep = reply.parser.should_keep_alive()
+            reason = Reason.NOT_KEPT
+            return reply.answer(), b"".join(reply.pieces)
+        except TimeoutError:
+            return Answer.OUT_OF_TIME if wrote else Answer.UNREACHED, b""
+        except ConnectionRefusedError:
+            reason = Reason.REFUSED
+            return Answer.UNREACHED, b""
+        except Ended as ended:
+            reason, detail = ended.reason, str(ended)
+            return Answer.BROKEN, b""
+        except httptools.HttpParserError as error:
+            reason, detail = Reason.UNREADABLE, str(error)
+            return Answer.BROKEN, b""
+        except OSError as error:
+            reason, detail = Reason.PEER_RESET, error.strerror or ""
+            return Answer.BROKEN if wrote else Answer.UNREACHED, b""
+        finally:
+            self.open -= 1
+            if keep and len(self.kept) < KEPT_MOST:
+                self.kept.append((sock, time.monotonic()))
+            else:
+                self.end(sock, reason, detail)
+
+    def text(self, id: str, body: bytes, patience: float) -> bytes:
+        return (f"POST /fetch HTTP/1.1\r\nHost: {self.host}\r\nX-On-Behalf: {id}\r\n"
+                f"X-Patience: {max(1, int(patience * 1000))}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
+
+    async def read(self, sock: socket.socket, reply: Reply) -> None:
+        loop, room = asyncio.get_running_loop(), memoryview(bytearray(READ_BYTES))
+        while not reply.over:
+            size = await loop.sock_recv_into(sock, room)
+            if not size:
+                raise Ended(Reason.PEER_CLOSED, "before the reply was whole")
+            reply.parser.feed_data(room[:size])
+
+    def take(self) -> tuple[socket.socket, bool]:
+        """A kept connection that is still good, the last used first; or else a new one."""
+        while self.kept:
+            sock, since = self.kept.pop()
+            if time.monotonic() - since < KEPT_FOR and quiet(sock):
+                return sock, False
+            self.end(sock, Reason.IDLE, "")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock, True
+
+    def sweep(self) -> None:
+        """Closes what has been kept too long to be used again."""
+        while self.kept and time.monotonic() - self.kept[0][1] >= KEPT_FOR:
+            self.end(self.kept.pop(0)[0], Reason.IDLE, "")
+
+    def end(self, sock: socket.socket, reason: Reason, detail: str) -> None:
+        sock.close()
+        log.info("event=connection-ended side=catalogue reason=%s detail=%r", reason.value, detail)
+
+
+def quiet(sock: socket.socket) -> bool:
+    """Whether nothing came on it since its last reply; an end or a reset would show here."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    return False
--- /dev/null
+++ b/burlloom/desk/desk.py
@@ -0,0 +1,220 @@
+"""The one place in the server that speaks to the decisions.
+
+A txn's coroutine calls `pick` until it gets a final answer. What happens outside is told by `report`, time
+by `tick`. The steps of one event leave in the order in which they were decided: they are handed out from
+the loop, one by one, and the coroutine that waits for each acts without waiting for anything else.
+"""
+
+import asyncio
+import heapq
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
+
+from ..choice import Choice
+from ..interface import Gauges, Outcome, Repeatable, ServerFacts, Txn
+from .ledger import Ledger
+from .steps import AtCall, CallEnded, Kind, Leaving, RunEnded, Step, Try
+
+log = logging.getLogger(__name__)
+
+SLACK = 50_000_000  # by which the time limits are longer on sockets
+
+
+class Seat:
+    """A txn between its reading and its release."""
+
+    __slots__ = ("id", "mark", "body", "answered", "ran", "steps", "waiter")
+
+    def __init__(self, id: str, mark: str) -> None:
+        self.id, self.mark = id, mark
+        self.body = b""
+        self.answered = self.ran = False
+        self.steps: deque[Step] = deque()
+        self.waiter: asyncio.Future[None] | None = None
+
+
+class Desk:
+    """Implements `interface.Effects`; only the decisions call those methods."""
+
+    def __init__(self, facts: ServerFacts, seed: int, clock: Callable[[], int], age: int) -> None:
+        # This protocol has no command to leave a call out, so the decisions never hear that one may be.
+        products = tuple(replace(product, skip_share=0.0) for product in facts.products)
+        self.facts, self.clock = replace(facts, products=products), clock
+        self.loop = asyncio.get_running_loop()
+        self.seats: dict[int, Seat] = {}
+        self.refs: dict[str, int] = {}
+        self.callers: dict[str, int] = {}
+        self.given = self.unanswered = 0
+        self.ledger = Ledger(max(product.expiry for product in facts.products), SLACK)
+        self.wakes: list[tuple[int, int]] = []
+        self.outbox: deque[tuple[Seat, Step]] = deque()
+        self.copies: deque[tuple[int, bytes | None]] = deque()
+        self.handing = False
+        self.healthy, self.said, self.idle_for = True, "", facts.idle
+        self.last_arrival = 1 << 62
+        now = clock()
+        # Its age is the executor's, which may be warm long before this process came.
+        self.choice = Choice(self.facts, seed, self, now - age)
+        self.choice.begin(now)
+
+    # What the server calls.
+
+    def knows(self, id: str) -> bool:
+        return id in self.refs
+
+    async def pick(self, txn: Try) -> Step:
+        """The next step of this txn; the first call reads it."""
+        ref = self.refs.get(txn.id, -1)
+        seat = self.seats[ref] if ref >= 0 else self.admit(txn)
+        while not seat.steps:
+            seat.waiter = self.loop.create_future()
+            await seat.waiter
+        return seat.steps.popleft()
+
+    def report(self, news: AtCall | RunEnded | CallEnded | Leaving) -> None:
+        now = self.clock()
+        if isinstance(news, Leaving):
+            self.last_arrival = now + self.facts.grace
+            self.choice.leaving(now, news.stop)
+        elif (ref := self.refs.get(news.id, -1)) < 0:
+            log.info("event=late news=%s id=%s", type(news).__name__, news.id)
+        elif isinstance(news, AtCall):
+            self.seats[ref].body = news.body
+            self.choice.at_call(now, ref)
+        elif isinstance(news, CallEnded):
+            self.choice.call_ended(now, ref, news.outcome, news.took)
+        else:
+            self.run_ended(now, ref, news)
+        self.flush()
+
+    def tick(self, gauges: Gauges) -> int:
+        """Fires what is due; returns when the next is."""
+        now = self.clock()
+        while self.wakes and self.wakes[0][0] <= now:
+            _, handle = heapq.heappop(self.wakes)
+            self.choice.woke(now, handle, gauges)
+        self.ledger.sweep(now)
+        self.flush()
+        return self.wakes[0][0] if self.wakes else 1 << 62
+
+    # Within.
+
+    def admit(self, txn: Try) -> Seat:
+        now = self.clock()
+        product = self.facts.products[txn.product]
+        mark = ""
+        if product.repeatable is Repeatable.REFERENCED:
+            mark = f"{txn.product} {txn.once}" if txn.once else ""
+        elif self.facts.fresh and product.repeatable is Repeatable.INQUIRY and txn.key:
+            mark = f"{txn.product} {txn.key}"
+        ref = self.given
+        self.given += 1
+        seat = self.seats[ref] = Seat(txn.id, mark)
+        self.refs[txn.id] = ref
+        self.unanswered += 1
+        self.choice.arrived(now, Txn(
+            ref=ref, caller=self.callers.setdefault(txn.caller, len(self.callers)), product=txn.product,
+            cost=txn.cost, unread=max(0, now - txn.at), expiry_at=0, kb=txn.kb, rank=txn.rank,
+            repeat_of=self.ledger.holder(mark, txn.at) if mark else -1))
+        self.flush()
+        return seat
+
+    def run_ended(self, now: int, ref: int, news: RunEnded) -> None:
+        seat = self.seats[ref]
+        good = news.outcome is Outcome.OK
+        # A run that was begun for nobody is over unrun; whoever may still listen is told it came to nothing.
+        self.put(ref, Step(Kind.SETTLE, body=news.result) if good else Step(Kind.VOID))
+        seat.ran = news.outcome is not Outcome.MOOT
+        record = self.ledger.of(ref)
+        if record is not None and not record.over:
+            self.ledger.settle(record, news.result if good else None)
+            self.copies.extend((copy, record.result) for copy in record.waiting)
+            record.waiting = []
+        self.choice.ended(now, ref, news.outcome, news.took)
+
+    def put(self, ref: int, step: Step) -> None:
+        """Lines a step up; of final answers only the first counts."""
+        seat = self.seats[ref]
+        if seat.answered:
+            return
+        if step.kind not in (Kind.RUN, Kind.CALL):
+            seat.answered = True
+            self.unanswered -= 1
+        self.outbox.append((seat, step))
+
+    def flush(self) -> None:
+        # Not at once: a txn just read does not wait at `pick` yet, and would be overtaken by its own steps.
+        if not self.handing and (self.outbox or self.copies):
+            self.handing = True
+            self.loop.call_soon(self.hand_out)
+
+    def hand_out(self) -> None:
+        self.handing = False
+        while self.outbox or self.copies:
+            if self.outbox:
+                seat, step = self.outbox.popleft()
+                seat.steps.append(step)
+                if seat.waiter is not None and not seat.waiter.done():
+                    seat.waiter.set_result(None)
+            else:
+                ref, result = self.copies.popleft()
+                if ref in self.seats and not self.seats[ref].answered:
+                    self.put(ref, Step(Kind.VOID) if result is None else Step(Kind.SETTLE_AS, body=result))
+                    self.choice.ended(self.clock(), ref, Outcome.FAILED if result is None else Outcome.OK, 0)
+
+    # What the decisions call.
+
+    def start(self, ref: int) -> None:
+        self.put(ref, Step(Kind.RUN))
+
+    def decline(self, ref: int, stay_away: int, final: bool) -> None:
+        self.put(ref, Step(Kind.DECLINE, stay_away=stay_away, final=final))
+
+    def void(self, ref: int) -> None:
+        self.put(ref, Step(Kind.VOID))
+
+    def call(self, ref: int, stop_at: int) -> None:
+        self.put(ref, Step(Kind.CALL, until=stop_at, body=self.seats[ref].body))
+
+    def leave_out(self, ref: int) -> None:
+        raise NotImplementedError("this protocol has no command to leave a call out")
+
+    def keep(self, ref: int, lifetime: int) -> None:
+        if self.seats[ref].mark:
+            stranded = self.ledger.keep(self.seats[ref].mark, ref, self.clock() + lifetime)
+            self.copies.extend((copy, None) for copy in stranded)
+
+    def forget(self, ref: int) -> None:
+        if self.ledger.of(ref) is not None:
+            self.copies.extend((copy, None) for copy in self.ledger.drop(self.seats[ref].mark))
+
+    def reuse(self, ref: int) -> None:
+        record = self.ledger.records.get(self.seats[ref].mark)
+        if record is None or record.over:
+            self.copies.append((ref, record.result if record is not None else None))
+        else:
+            record.waiting.append(ref)
+
+    def health(self, good: bool) -> None:
+        self.healthy = good
+
+    def tell(self, value: float) -> None:
+        self.said = f"{value:.4f}"
+
+    def idle(self, lifetime: int) -> None:
+        self.idle_for = lifetime
+
+    def wake(self, delay: int, handle: int) -> None:
+        heapq.heappush(self.wakes, (self.clock() + delay, handle))
+
+    def note(self, text: str) -> None:
+        log.info("event=note text=%r", text)
+
+    def release(self, ref: int) -> None:
+        seat = self.seats[ref]
+        if not seat.answered:
+            log.error("event=released-unanswered id=%s", seat.id)
+            self.put(ref, Step(Kind.VOID))
+        del self.seats[ref], self.refs[seat.id]
--- /dev/null
+++ b/burlloom/desk/steps.py
@@ -0,0 +1,67 @@
+"""What the desk is handed and what it hands out."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ..interface import Outcome
+
+
+class Kind(Enum):
+    RUN = "run"
+    CALL = "call"
+    SETTLE = "settle"
+    SETTLE_AS = "settle-as-forerunner"
+    DECLINE = "decline"
+    VOID = "void"
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What a txn meets next; all but RUN and CALL are its final answer."""
+
+    kind: Kind
+    until: int = 0  # CALL: when to give it up
+    body: bytes = b""  # CALL: what to ask; SETTLE, SETTLE_AS: the result
+    stay_away: int = 0  # DECLINE
+    final: bool = False  # DECLINE: not to be tried elsewhere
+
+
+@dataclass(frozen=True, slots=True)
+class Try:
+    """One try of a txn, as its caller sent it; `cost` is 0 and the marks empty where none were told."""
+
+    id: str
+    at: int
+    caller: str
+    product: int
+    cost: int
+    kb: float
+    rank: float
+    once: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class AtCall:
+    id: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RunEnded:
+    id: str
+    outcome: Outcome
+    took: int
+    result: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CallEnded:
+    id: str
+    outcome: Outcome
+    took: int
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    stop: int
--- /dev/null
+++ b/burlloom/executor/link.py
@@ -0,0 +1,169 @@
+"""Keeps the link to the executor; what was said on a lost one is said again only where that is safe."""
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from enum import Enum
+
+from ..sockets import Buffer, Ended, Reason, Tasks, Writer
+from . import lines
+
+log = logging.getLogger(__name__)
+
+READ_BYTES = 64 << 10
+AGAIN = 0.05  # seconds between tries to find the executor
+
+
+class End(Enum):
+    PASS = "PASS"
+    FAIL = "FAIL"
+    KILLED = "KILLED"
+    NOOP = "NOOP"
+    BAD = "BAD"
+
+
+class Link:
+    def __init__(self, address: tuple[str, int], tasks: Tasks, welcome: Callable[[bool, int], None],
+                 ended: Callable[[str, End, int, bytes], None], at_call: Callable[[str, bytes], None]) -> None:
+        self.address, self.tasks = address, tasks
+        self.welcome, self.ended, self.at_call = welcome, ended, at_call
+        self.read_last = 0
+        # Commands that no later answer proves to have arrived, in order; only these are in doubt when a link
+        # is lost. All others must not be repeated: their run may have ended, and would run again.
+        self.doubtful: dict[tuple[str, str], bytes] = {}
+        self.metered: dict[str, tuple[asyncio.Future[list[float] | None], list[tuple[str, str]]]] = {}
+        self.tags = 0
+        self.writer: Writer | None = None
+        self.joined = False
+        self.barrier = ""
+
+    def run(self, id: str, product: str, body: bytes) -> None:
+        self.command("EXEC", id, f"EXEC {id} {product} {len(body)}\r\n".encode() + body + b"\r\n")
+
+    def give(self, id: str, reply: bytes) -> None:
+        self.command("RETURN", id, f"RETURN {id} {len(reply)}\r\n".encode() + reply + b"\r\n")
+
+    def command(self, name: str, id: str, text: bytes) -> None:
+        self.doubtful.pop((name, id), None)
+        self.doubtful[name, id] = text
+        if self.joined and self.writer is not None:
+            self.writer.post(text)
+
+    async def gauges(self, patience: float) -> list[float] | None:
+        """What the executor measures now; None if it does not say so within `patience` seconds."""
+        if not self.joined:
+            return None
+        asked = self.meter()
+        done, _ = await asyncio.wait({asked}, timeout=patience)
+        return asked.result() if done else None
+
+    def meter(self) -> "asyncio.Future[list[float] | None]":
+        self.tags += 1
+        tag = f"m{self.tags}"
+        asked: asyncio.Future[list[float] | None] = asyncio.get_running_loop().create_future()
+        self.metered[tag] = asked, list(self.doubtful) if self.joined else []
+        assert self.writer is not None
+        self.writer.post(f"METER {tag}\r\n".encode())
+        return asked
+
+    async def keep(self) -> None:
+        """Finds the executor, again whenever the link is lost."""
+        while True:
+            reason, detail = Reason.FAULT, ""
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                await asyncio.get_running_loop().sock_connect(sock, self.address)
+                await self.listen(sock)
+                reason = Reason.PEER_CLOSED
+            except ConnectionRefusedError:
+                reason = Reason.REFUSED
+            except Ended as ended:
+                reason, detail = ended.reason, str(ended)
+            except OSError as error:
+                reason, detail = Reason.PEER_RESET, error.strerror or ""
+            finally:
+                self.lost()
+                sock.close()
+            log.info("event=connection-ended side=executor reason=%s last=%d doubtful=%d detail=%r",
+                     reason.value, self.read_last, len(self.doubtful), detail)
+            await asyncio.sleep(AGAIN)
+
+    def lost(self) -> None:
+        if self.writer is not None:
+            self.writer.end()
+        self.writer, self.joined, self.barrier = None, False, ""
+        for asked, _ in self.metered.values():
+            if not asked.done():
+                asked.set_result(None)
+        self.metered.clear()
+
+    async def listen(self, sock: socket.socket) -> None:
+        loop, buffer = asyncio.get_running_loop(), Buffer(READ_BYTES, 4 * lines.BODY_MOST)
+        # A write that fails is followed by a read that fails too.
+        self.writer = Writer(sock, self.tasks, lambda: None)
+        self.writer.post(f"JOIN {self.read_last}\r\n".encode())
+        while True:
+            size = await loop.sock_recv_into(sock, buffer.room())
+            if not size:
+                return
+            buffer.end += size
+            while (notice := lines.notice(buffer)) is not None:
+                try:
+                    self.take(*notice)
+                except ValueError as error:
+                    raise Ended(Reason.UNREADABLE, f"{notice[0][0]}: {error}") from error
+
+    def take(self, words: list[str], body: memoryview) -> None:
+        name, *values = words
+        if name == "WELCOME":
+            if values[0] not in ("EMPTY", "LOADED"):
+                raise ValueError(values[0])
+            self.welcome(values[0] == "EMPTY", int(values[1]))
+            # The replay ends where this is answered: only then is it known which commands were heard.
+            self.meter()
+            self.barrier = f"m{self.tags}"
+        elif name == "METERS":
+            self.measured(values[0], [float(value) for value in values[1:]])
+        elif name == "BAD":
+            self.bad(values)
+        elif name == "LOG":
+            log.info("event=executor-log text=%r", " ".join(values[1:]))
+            self.fresh(int(values[0]))
+        elif self.fresh(int(values[0])):
+            id = values[1]
+            self.doubtful.pop(("EXEC", id), None)
+            self.doubtful.pop(("RETURN", id), None)
+            if name == "CALLOUT":
+                self.at_call(id, bytes(body))  # outlives the buffer: the call may be made later, and again
+            else:
+                self.ended(id, End[values[2]] if values[2] in End.__members__ else End.FAIL,
+                           int(float(values[3]) * 1e6), bytes(body))
+
+    def fresh(self, number: int) -> bool:
+        if number > self.read_last + 1:
+            # More than the executor keeps was said while there was no link: some ends are never learnt, and
+            # what was in doubt may be among them. Not said again, it is voided in time and never run twice.
+            log.error("event=notices-lost from=%d to=%d", self.read_last + 1, number - 1)
+            self.doubtful.clear()
+        fresh = number > self.read_last
+        self.read_last = max(self.read_last, number)
+        return fresh
+
+    def measured(self, tag: str, values: list[float]) -> None:
+        asked, proven = self.metered.pop(tag, (None, []))
+        for command in proven:
+            self.doubtful.pop(command, None)
+        if tag == self.barrier and self.writer is not None:
+            self.barrier, self.joined = "", True
+            self.writer.post(*self.doubtful.values())
+        if asked is not None and not asked.done():
+            asked.set_result(values)
+
+    def bad(self, values: list[str]) -> None:
+        log.warning("event=command-refused command=%s id=%s", values[0], " ".join(values[1:]))
+        if len(values) > 1 and values[0] == "EXEC":
+            self.doubtful.pop(("EXEC", values[1]), None)
+            self.ended(values[1], End.BAD, 0, b"")
--- /dev/null
+++ b/burlloom/naming/reports.py
@@ -0,0 +1,40 @@
+"""One datagram a second, and one at each change; nothing ever comes back."""
+
+import asyncio
+import logging
+import socket
+
+log = logging.getLogger(__name__)
+
+EVERY = 1.0
+
+
+class Reports:
+    def __init__(self, address: tuple[str, int], name: str) -> None:
+        self.address, self.name = address, name
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.said: bool | None = None
+        self.trouble = ""
+
+    def tell(self, serving: bool) -> None:
+        """Reports at once if this is news."""
+        if serving != self.said:
+            self.said = serving
+            self.report()
+
+    def report(self) -> None:
+        try:
+            self.sock.sendto(f"renew {self.name} {'yes' if self.said else 'no'}".encode(), self.address)
+            trouble = ""
+        except OSError as error:
+            trouble = error.strerror or "?"
+        if trouble != self.trouble:
+            self.trouble = trouble
+            log.info("event=naming trouble=%r", trouble)
+
+    async def keep(self) -> None:
+        while True:
+            if self.said is not None:
+                self.report()
+            await asyncio.sleep(EVERY)
--- /dev/null
+++ b/burlloom/server/assembly.py
@@ -0,0 +1,170 @@
+"""Puts the parts together: a txn's way through them, the beat of the decisions, and the way out."""
+
+import asyncio
+import logging
+import signal
+import time
+from dataclasses import replace
+
+from ..catalogue import Answer, Pool
+from ..desk import AtCall, CallEnded, Desk, Kind, Leaving, RunEnded, Step, Try
+from ..executor import End, Link
+from ..facts import gauges
+from ..interface import Gauges, Outcome, Repeatable
+from ..naming import Reports
+from ..rpc import Asked, Front
+from ..sockets import Tasks
+from .configuration import Orders
+
+log = logging.getLogger(__name__)
+
+MS = 1_000_000
+GAUGES_WAIT = 0.03  # seconds; gauges later than this are of another moment
+LAST_WRITES = 250 * MS  # before the kill: what the last answers and this process need to get out
+RUN_OUTCOME = {End.PASS: Outcome.OK, End.FAIL: Outcome.FAILED, End.KILLED: Outcome.STOPPED,
+               End.NOOP: Outcome.MOOT, End.BAD: Outcome.FAILED}
+CALL_OUTCOME = {Answer.WELL: Outcome.OK, Answer.DECLINED: Outcome.FULL, Answer.UNWANTED: Outcome.MOOT,
+                Answer.UNREACHED: Outcome.UNREACHED, Answer.FAILED: Outcome.FAILED,
+                Answer.OUT_OF_TIME: Outcome.TIMED_OUT, Answer.BROKEN: Outcome.BROKEN}
+
+
+class Clock:
+    """Unix time in whole nanoseconds that never steps back, whatever is done to the system's clock."""
+
+    def __init__(self) -> None:
+        self.last = 0
+
+    def __call__(self) -> int:
+        self.last = max(self.last, time.time_ns())
+        return self.last
+
+
+class Server:
+    def __init__(self, orders: Orders) -> None:
+        self.orders, self.clock, self.tasks = orders, Clock(), Tasks()
+        self.product = {name: index for index, name in enumerate(orders.products)}
+        referenced = {name: orders.facts.products[index].repeatable is Repeatable.REFERENCED
+                      for name, index in self.product.items()}
+        self.desk: Desk | None = None
+        self.serving: set[str] = set()
+        self.leaving = False
+        self.over = asyncio.Event()
+        self.front = Front(orders.listen, referenced, self.tasks, self.clock, self.asked, self.knows,
+                           self.good, lambda: self.desk.said if self.desk is not None else "")
+        self.link = Link(orders.executor, self.tasks, self.welcome, self.run_ended, self.at_call)
+        self.pool = Pool(orders.catalogue)
+        self.reports = Reports(orders.naming, orders.name)
+
+    async def run(self) -> None:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, self.leave)
+        self.front.listen()
+        self.tasks.start(self.link.keep(), "executor")
+        self.tasks.start(self.reports.keep(), "naming")
+        log.info("event=listening name=%s address=%s:%d", self.orders.name, *self.orders.listen)
+        await self.over.wait()
+        log.info("event=stopped unanswered=%d", self.desk.unanswered if self.desk is not None else 0)
+
+    # A txn's way.
+
+    def knows(self, id: str) -> bool:
+        return id in self.serving or self.desk is not None and self.desk.knows(id)
+
+    def asked(self, asked: Asked) -> None:
+        if self.desk is None:
+            asked.decline(0, False)
+            return
+        self.serving.add(asked.id)
+        self.tasks.start(self.serve(self.desk, asked), "txn")
+
+    async def serve(self, desk: Desk, asked: Asked) -> None:
+        txn = Try(asked.id, asked.at, asked.caller, self.product[asked.product], asked.cost, asked.kb,
+                  asked.rank, asked.once, asked.key)
+        call: asyncio.Task[None] | None = None
+        answered = False
+        try:
+            while not answered:
+                step = await desk.pick(txn)
+                answered = step.kind not in (Kind.RUN, Kind.CALL)
+                match step.kind:
+                    case Kind.RUN:
+                        self.link.run(asked.id, asked.product, asked.body)
+                    case Kind.CALL:
+                        call = self.tasks.start(self.call(desk, asked.id, step), "call")
+                    case Kind.SETTLE | Kind.SETTLE_AS:
+                        asked.settle(step.body)
+                    case Kind.DECLINE:
+                        asked.decline(step.stay_away, step.final)
+                    case Kind.VOID:
+                        asked.void()
+        finally:
+            if not answered:
+                asked.void()
+            if call is not None:
+                call.cancel()
+            self.serving.discard(asked.id)
+
+    async def call(self, desk: Desk, id: str, step: Step) -> None:
+        began = self.clock()
+        answer, reply = await self.pool.call(id, step.body, (step.until - began) / 1e9)
+        if answer is Answer.WELL:
+            self.link.give(id, reply)
+        desk.report(CallEnded(id, CALL_OUTCOME[answer], self.clock() - began))
+
+    def good(self) -> bool:
+        return self.desk is not None and self.desk.healthy and not self.leaving
+
+    # What the executor says.
+
+    def welcome(self, cold: bool, age_ms: int) -> None:
+        if self.desk is not None or self.leaving:
+            return
+        log.info("event=welcome cold=%s age_ms=%d", cold, age_ms)
+        facts = replace(self.orders.facts, cold=cold)
+        self.desk = Desk(facts, self.orders.seed, self.clock, age_ms * MS)
+        self.reports.tell(True)
+        self.tasks.start(self.beat(self.desk), "beat")
+
+    def run_ended(self, id: str, end: End, took: int, result: bytes) -> None:
+        if self.desk is not None:
+            self.desk.report(RunEnded(id, RUN_OUTCOME[end], took, result))
+
+    def at_call(self, id: str, body: bytes) -> None:
+        if self.desk is not None:
+            self.desk.report(AtCall(id, body))
+
+    async def beat(self, desk: Desk) -> None:
+        due = desk.tick(Gauges())
+        while True:
+            await asyncio.sleep(max(0, due - self.clock()) / 1e9)
+            values = await self.link.gauges(GAUGES_WAIT)
+            fresh = values is not None and len(values) == len(self.orders.meters)
+            due = desk.tick(gauges(self.orders.meters, values) if fresh and values else Gauges())
+            self.reports.tell(self.good())
+            self.front.trim(desk.idle_for)
+            self.pool.sweep()
+
+    # The way out.
+
+    def leave(self) -> None:
+        if self.leaving:
+            return
+        self.leaving = True
+        now = self.clock()
+        stop = now + max(self.orders.stop - LAST_WRITES, 0)
+        log.info("event=leaving stop_ms=%d", self.orders.stop // MS)
+        if self.desk is not None:
+            self.desk.report(Leaving(stop))
+            self.reports.tell(False)
+        self.tasks.start(self.drain(now, stop), "drain")
+
+    async def drain(self, now: int, stop: int) -> None:
+        """Serves on while newcomers may still be run; then asks the callers to go and waits for them."""
+        if self.desk is not None:
+            serve_until = min(now + self.orders.facts.grace, stop - 2 * LAST_WRITES)
+            await asyncio.sleep(max(0, serve_until - self.clock()) / 1e9)
+        self.front.leave()
+        while self.clock() < stop and (self.front.connections or self.desk is not None and self.desk.unanswered):
+            await asyncio.sleep(0.01)
+        while self.front.busy and self.clock() < stop + LAST_WRITES // 2:
+            await asyncio.sleep(0.01)
+        self.over.set()
--- /dev/null
+++ b/burlloom/server/configuration.py
@@ -0,0 +1,64 @@
+"""What the server is told, read once at its start."""
+
+import json
+import os
+from dataclasses import dataclass
+from typing import Any
+
+from ..facts import facts
+from ..interface import ServerFacts
+
+Address = tuple[str, int]
+
+
+class Broken(Exception):
+    """The configuration can't be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Orders:
+    name: str
+    listen: Address
+    executor: Address
+    naming: Address
+    catalogue: Address
+    seed: int
+    stop: int
+    facts: ServerFacts
+    products: tuple[str, ...]
+    meters: tuple[str, ...]
+
+
+def address(text: Any) -> Address:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"no address: {text!r}")
+    return host, int(port)
+
+
+def read() -> Orders:
+    path = os.environ.get("EDGE_CONFIG", "")
+    if not path:
+        raise Broken("EDGE_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as source:
+            got: dict[str, Any] = json.load(source)
+        known, meters = facts(got["settings"])
+        return Orders(
+            name=os.environ.get("EDGE_NAME") or str(got["name"]),
+            listen=address(os.environ.get("EDGE_LISTEN") or got["listen"]),
+            executor=address(got["executor"]),
+            naming=address(got["naming"]),
+            catalogue=address(got["catalog"]),
+            seed=int(got["seed"], 16),
+            stop=int(got["stop_ms"]) * 1_000_000,
+            facts=known,
+            products=tuple(str(product["name"]) for product in got["settings"]["categories"]),
+            meters=meters,
+        )
+    except OSError as error:
+        raise Broken(f"{path}: {error.strerror}") from error
+    except KeyError as error:
+        raise Broken(f"{path}: {error} is missing") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise Broken(f"{path}: {error}") from error
--- /dev/null
+++ b/burlloom/sockets/buffer.py
@@ -0,0 +1,25 @@
+"""A read buffer: bytes come in at its end and leave as slices from its front."""
+
+
+class Buffer:
+    """Slices of it hold until the next `room`, which may move what is left to the front or to a larger one."""
+
+    def __init__(self, size: int, most: int) -> None:
+        self.most = most
+        self.view = memoryview(bytearray(size))
+        self.start = self.end = 0
+
+    def room(self) -> memoryview:
+        """Where the next bytes go; empty once an unfinished message fills the most there may be."""
+        if self.start == self.end:
+            self.start = self.end = 0
+        elif self.end == len(self.view):
+            left = self.end - self.start
+            size = len(self.view) if self.start else min(self.most, 2 * len(self.view))
+            fresh = memoryview(bytearray(size))
+            fresh[:left] = self.view[self.start:self.end]
+            self.view, self.start, self.end = fresh, 0, left
+        return self.view[self.end:]
+
+    def clear(self) -> None:
+        self.start = self.end = 0
--- /dev/null
+++ b/burlloom/sockets/reasons.py
@@ -0,0 +1,27 @@
+"""Why a connection ended. The codes are explained in docs/on-call.md."""
+
+from enum import Enum
+
+
+class Reason(Enum):
+    PEER_CLOSED = "peer-closed"
+    PEER_RESET = "peer-reset"
+    UNREADABLE = "unreadable"
+    WRONG_TYPE = "wrong-type"
+    TOO_LARGE = "too-large"
+    REPEATED_ID = "repeated-id"
+    REFUSED = "refused"
+    SILENT = "silent"
+    GIVEN_UP = "given-up"
+    IDLE = "idle"
+    NOT_KEPT = "not-kept"
+    LEAVING = "leaving"
+    FAULT = "fault"
+
+
+class Ended(Exception):
+    """A connection can't go on, for a reason that is ours to name."""
+
+    def __init__(self, reason: Reason, detail: str = "") -> None:
+        super().__init__(detail)
+        self.reason = reason
--- /dev/null
+++ b/burlloom/sockets/tasks.py
@@ -0,0 +1,25 @@
+"""The tasks of a server; none may fail unseen."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any
+
+log = logging.getLogger(__name__)
+
+
+class Tasks:
+    def __init__(self) -> None:
+        # The loop itself holds its tasks only weakly.
+        self.running: set[asyncio.Task[Any]] = set()
+
+    def start(self, work: Coroutine[Any, Any, None], name: str) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self.running.add(task)
+        task.add_done_callback(self.over)
+        return task
+
+    def over(self, task: asyncio.Task[Any]) -> None:
+        self.running.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.error("event=task-failed task=%s", task.get_name(), exc_info=error)
--- a/burlloom/wirehost/host.py
+++ b/burlloom/wirehost/host.py
@@ -120,7 +120,7 @@
         if name == "BOOT":
             if int(who) < 0:
                 raise ValueError(f"instance {who}")
-            seed, (facts, meters) = int(values[2]), codec.facts(values[3])
+            seed, (facts, meters) = int(values[2]), codec.told(values[3])
             return lambda: self.boot(Instance(who, seed, facts, meters, now), now)
         if name == "KILLED":
             self.instances.pop(str(int(who)), None)
