Catalogue connections are kept: httptools tells keep-alive only as a reply completes

Checked with a probe: should_keep_alive() is True inside on_message_complete and False right after feed_data. Wrong: catalogue/pool.py asked after the read.

--- a/burlloom/catalogue/pool.py
+++ b/burlloom/catalogue/pool.py
@@ -37,7 +37,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.pieces: list[bytes] = []
         self.size = 0
-        self.declined = self.over = False
+        self.declined = self.over = self.keep = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.declined |= name.lower() == b"x-declined" and value.strip() == b"1"
@@ -49,7 +49,8 @@
         self.pieces.append(body)
 
     def on_message_complete(self) -> None:
-        self.over = True
+        # Asked only here is the parser's answer of this reply: right after, it is of the next, and no.
+        self.over, self.keep = True, self.parser.should_keep_alive()
 
     def answer(self) -> Answer:
         status = self.parser.get_status_code()
@@ -80,7 +81,7 @@
                 wrote = True
                 await loop.sock_sendall(sock, self.text(id, body, patience))
                 await self.read(sock, reply)
-            keep = reply.parser.should_keep_alive()
+            keep = reply.keep
             reason = Reason.NOT_KEPT
             return reply.answer(), b"".join(reply.pieces)
         except TimeoutError:
