--- a/examples/stand_ins.py
+++ b/examples/stand_ins.py
@@ -1,7 +1,7 @@
 """Small stand-ins for what a burlloom server talks to, written from the published protocol.
 
-The toy in this folder and the integration tests run the same ones. Each listens on the loopback at a port
-that the system gives, and does only what it is told: nothing here decides or measures anything.
+The toy in this folder and the integration tests run the same ones. Each listens on the loopback and does only
+what it is told: nothing here decides or measures anything.
 """
 
 import asyncio
@@ -12,6 +12,8 @@
 
 import msgpack
 
+ANY = "127.0.0.1:0"  # a port that the system gives
+
 
 class Executor:
     """Owns the link: keeps numbered notices, replays them to a new link, and answers METER by itself."""
@@ -27,8 +29,9 @@
         self.link: asyncio.StreamWriter | None = None
         self.meters, self.asked = "0.2 1 0.1 3", 0
 
-    async def start(self) -> "Executor":
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+    async def start(self, address: str = ANY) -> "Executor":
+        host, port = address.split(":")
+        self.server = await asyncio.start_server(self.serve, host, int(port))
         self.address = "%s:%d" % self.server.sockets[0].getsockname()
         return self
 
@@ -95,7 +98,7 @@
         self.given_up: asyncio.Queue[str] = asyncio.Queue()
         self.writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self, address: str = "127.0.0.1:0") -> "Catalogue":
+    async def start(self, address: str = ANY) -> "Catalogue":
         host, port = address.split(":")
         self.server = await asyncio.start_server(self.serve, host, int(port))
         self.address = "%s:%d" % self.server.sockets[0].getsockname()
@@ -156,9 +159,10 @@
     def __init__(self) -> None:
         self.reports: asyncio.Queue[str] = asyncio.Queue()
 
-    async def start(self) -> "NameService":
-        loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", 0))
+    async def start(self, address: str = ANY) -> "NameService":
+        host, port = address.split(":")
+        self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port)))
         self.address = "%s:%d" % self.transport.get_extra_info("sockname")
         return self
 
