A balancer that never reads is let go; an address that is taken is one line and status 2

Checked: legitimate callers are owed at most 32 answers, a fifth of the bound that ends a connection. The listener is bound before the log is set up and listens once the loop can serve it; Ctrl-C drains too.

--- a/burlloom/rpc/front.py
+++ b/burlloom/rpc/front.py
@@ -16,6 +16,7 @@
 MS = 1_000_000
 READ_BYTES = 4 << 10
 BODY_BYTES = 2 << 10
+UNSENT_MOST = 1 << 20  # one that waits for 32 answers can't be owed a fifth of it
 BACKLOG = 1024
 MOMENT = 0.01
 SHUTDOWN = frames.notification("shutdown")
@@ -68,6 +69,7 @@
         self.used = front.clock()
         self.txns = self.answers = 0
         self.told_shutdown = self.health_only = False
+        self.ended = Reason.PEER_RESET  # where the reader is stopped from outside
         self.reader: asyncio.Task[None] | None = None
 
     async def serve(self) -> None:
@@ -83,7 +85,7 @@
         except OSError as error:
             reason, detail = Reason.PEER_RESET, error.strerror or ""
         except asyncio.CancelledError:
-            reason = Reason.PEER_RESET if self.writer.ended else Reason.LEAVING
+            reason = self.ended
         finally:
             self.writer.end()
             self.front.connections.discard(self)
@@ -186,6 +188,10 @@
         self.answers += 1
         self.used = self.front.clock()
         self.writer.post(*pieces)
+        if self.writer.size > UNSENT_MOST:
+            # Against one that asks and never reads: its answers would fill the memory of all.
+            self.ended = Reason.NOT_READING
+            self.broken()
 
     def fail(self, number: int, name: str) -> None:
         self.answer(number, frames.error(number, name, self.front.told()))
@@ -200,16 +206,14 @@
 class Front:
     """Accepts connections; hands each txn that is read to `txn`, with what it asks of the rest of the server."""
 
-    def __init__(self, address: tuple[str, int], products: dict[str, bool], tasks: Tasks, clock: Callable[[], int],
+    def __init__(self, listener: socket.socket, products: dict[str, bool], tasks: Tasks, clock: Callable[[], int],
                  txn: Callable[[Asked], None], knows: Callable[[str], bool], good: Callable[[], bool],
                  said: Callable[[], str]) -> None:
         self.products, self.tasks, self.clock = products, tasks, clock
         self.txn, self.knows, self.good, self.said = txn, knows, good, said
         self.connections: set[Connection] = set()
         self.leaving = False
-        self.listener: socket.socket | None = socket.create_server(address, backlog=BACKLOG)
-        self.listener.setblocking(False)
-        self.address = "%s:%d" % self.listener.getsockname()
+        self.listener: socket.socket | None = listener
 
     def told(self) -> dict[str, str]:
         said = self.said()
@@ -220,6 +224,8 @@
 
     def listen(self) -> None:
         if self.listener is not None:
+            self.listener.setblocking(False)
+            self.listener.listen(BACKLOG)
             asyncio.get_running_loop().add_reader(self.listener, self.accept)
 
     def accept(self) -> None:
--- a/burlloom/server/__main__.py
+++ b/burlloom/server/__main__.py
@@ -1,5 +1,6 @@
 """`python -m burlloom.server`: one real server, told what it is by its environment."""
 
+import socket
 import sys
 
 import uvloop
@@ -9,18 +10,30 @@
 from .logs import set_up
 
 
-async def serve(orders: Orders) -> None:
-    await Server(orders).run()
+async def serve(orders: Orders, listener: socket.socket) -> None:
+    await Server(orders, listener).run()
+
+
+def bound(orders: Orders) -> socket.socket:
+    """Bound, but not yet listening: a connection is met only by a server that can serve it."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(orders.listen)
+    except OSError as error:
+        raise Broken(f"{orders.listen[0]}:{orders.listen[1]}: {error.strerror}") from error
+    return listener
 
 
 def main() -> int:
     try:
         orders = read()
+        listener = bound(orders)
     except Broken as error:
         print(f"burlloom.server: {error}", file=sys.stderr)
         return 2
     set_up()
-    uvloop.run(serve(orders))
+    uvloop.run(serve(orders, listener))
     return 0
 
 
--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import signal
+import socket
 import time
 from dataclasses import replace
 
@@ -40,7 +41,7 @@
 
 
 class Server:
-    def __init__(self, orders: Orders) -> None:
+    def __init__(self, orders: Orders, listener: socket.socket) -> None:
         self.orders, self.clock, self.tasks = orders, Clock(), Tasks()
         self.product = {name: index for index, name in enumerate(orders.products)}
         referenced = {name: orders.facts.products[index].repeatable is Repeatable.REFERENCED
@@ -49,18 +50,20 @@
         self.serving: set[str] = set()
         self.leaving = False
         self.over = asyncio.Event()
-        self.front = Front(orders.listen, referenced, self.tasks, self.clock, self.asked, self.knows,
+        self.address = listener.getsockname()
+        self.front = Front(listener, referenced, self.tasks, self.clock, self.asked, self.knows,
                            self.good, lambda: self.desk.said if self.desk is not None else "")
         self.link = Link(orders.executor, self.tasks, self.welcome, self.run_ended, self.at_call)
         self.pool = Pool(orders.catalogue)
         self.reports = Reports(orders.naming, orders.name)
 
     async def run(self) -> None:
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, self.leave)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, self.leave)
         self.front.listen()
         self.tasks.start(self.link.keep(), "executor")
         self.tasks.start(self.reports.keep(), "naming")
-        log.info("event=listening name=%s address=%s", self.orders.name, self.front.address)
+        log.info("event=listening name=%s address=%s:%d", self.orders.name, *self.address)
         await self.over.wait()
         log.info("event=stopped unanswered=%d", self.desk.unanswered if self.desk is not None else 0)
 
--- a/burlloom/server/configuration.py
+++ b/burlloom/server/configuration.py
@@ -44,6 +44,8 @@
         with open(path, encoding="utf-8") as source:
             got: dict[str, Any] = json.load(source)
         known, meters = facts(got["settings"])
+        if not known.products or known.cores < 1 or known.memory_kb <= 0 or int(got["stop_ms"]) < 0:
+            raise ValueError("settings without products, cores, memory or time to stop")
         return Orders(
             name=os.environ.get("EDGE_NAME") or str(got["name"]),
             listen=address(os.environ.get("EDGE_LISTEN") or got["listen"]),
--- a/burlloom/sockets/writer.py
+++ b/burlloom/sockets/writer.py
@@ -17,6 +17,7 @@
     def __init__(self, sock: socket.socket, tasks: Tasks, broken: Callable[[], None]) -> None:
         self.sock, self.tasks, self.broken = sock, tasks, broken
         self.posted: list[bytes] = []
+        self.size = 0  # of what was posted and is not known to have left
         self.task: asyncio.Task[None] | None = None
         self.ended = False
 
@@ -27,6 +28,7 @@
     def post(self, *pieces: bytes) -> None:
         if not self.ended:
             self.posted += pieces
+            self.size += sum(map(len, pieces))
             if self.task is None:
                 self.task = self.tasks.start(self.write(), "write")
 
@@ -37,6 +39,7 @@
                 data = b"".join(self.posted)
                 self.posted.clear()
                 await loop.sock_sendall(self.sock, data)
+                self.size -= len(data)
         except OSError:
             # The peer is gone: what it was owed is lost with the connection, and the reader must learn of it.
             self.end()
