--- a/burlloom/executor/link.py
+++ b/burlloom/executor/link.py
@@ -13,7 +13,7 @@
 
 READ_BYTES = 64 << 10
 AGAIN = 0.05  # seconds between tries to find the executor
-SILENT_AFTER = 30  # questions unanswered, of which there are about ten a second
+SILENT_AFTER = 50  # questions unanswered, of which there are about ten a second
 
 
 class End(Enum):
--- a/burlloom/rpc/frames.py
+++ b/burlloom/rpc/frames.py
@@ -44,15 +44,25 @@
     def number(self, form: str) -> Any:
         return struct.unpack(form, self.take(struct.calcsize(form)))[0]
 
+    def text(self, size: int) -> str:
+        try:
+            return str(self.take(size), "utf-8")
+        except UnicodeDecodeError as error:
+            raise Ended(Reason.UNREADABLE, "not utf-8") from error
+
     def value(self, depth: int = 0) -> Any:
-        first = self.take(1)[0]
+        if self.at >= self.end:
+            raise Short
+        first = self.view[self.at]
+        self.at += 1
+        if 0xA0 <= first < 0xC0:
+            return self.text(first & 31)
         if first < 0x80:
             return first
         if first >= 0xE0:
             return first - 0x100
         if first < 0xC0:
-            kind, size = (("map", first & 15) if first < 0x90 else
-                          ("array", first & 15) if first < 0xA0 else ("str", first & 31))
+            kind, size = "map" if first < 0x90 else "array", first & 15
         elif first in SIZED:
             form, kind = SIZED[first]
             size = self.number(form)
@@ -65,17 +75,15 @@
         if kind == "bin":
             return self.take(size)
         if kind == "str":
-            try:
-                return str(self.take(size), "utf-8")
-            except UnicodeDecodeError as error:
-                raise Ended(Reason.UNREADABLE, "not utf-8") from error
+            return self.text(size)
         if size > ITEMS or depth >= DEPTH:
             raise Ended(Reason.TOO_LARGE, f"{kind} of {size} at depth {depth}")
         if kind == "array":
             return [self.value(depth + 1) for _ in range(size)]
         pairs = [(self.value(depth + 1), self.value(depth + 1)) for _ in range(size)]
-        if not all(isinstance(key, str) for key, _ in pairs):
-            raise Ended(Reason.WRONG_TYPE, "a key that is no string")
+        for key, _ in pairs:
+            if type(key) is not str:
+                raise Ended(Reason.WRONG_TYPE, "a key that is no string")
         return dict(pairs)
 
 
