A METER proves only the commands said before it; notice numbers out of nowhere end the link

Found by reading executor/link.py: a METER remembered commands by name and txn, so its answer also took a second RETURN of the same run out of doubt; lost with the link, it would have left the run hanging until its expiry. It now remembers a place in the order. A number that jumps in mid-link would have made all later notices look old; it now ends the link as unreadable, and only the first notice after a JOIN may tell of lost ones. A fault of ours in reading a connection leaves the txns asked before it their answers.

--- a/burlloom/desk/desk.py
+++ b/burlloom/desk/desk.py
@@ -19,18 +19,19 @@
 
 log = logging.getLogger(__name__)
 
+CALLERS_MOST = 4096
 SLACK = 50_000_000  # by which the time limits are longer on sockets
 
 
 class Seat:
     """A txn between its reading and its release."""
 
-    __slots__ = ("id", "mark", "body", "answered", "ran", "steps", "waiter")
+    __slots__ = ("id", "mark", "body", "answered", "steps", "waiter")
 
     def __init__(self, id: str, mark: str) -> None:
         self.id, self.mark = id, mark
         self.body = b""
-        self.answered = self.ran = False
+        self.answered = False
         self.steps: deque[Step] = deque()
         self.waiter: asyncio.Future[None] | None = None
 
@@ -111,6 +112,8 @@
             mark = f"{txn.product} {txn.once}" if txn.once else ""
         elif self.facts.fresh and product.repeatable is Repeatable.INQUIRY and txn.key:
             mark = f"{txn.product} {txn.key}"
+        if len(self.callers) >= CALLERS_MOST:
+            self.callers.clear()  # against names without end; an index given anew only blurs who has a txn here
         ref = self.given
         self.given += 1
         seat = self.seats[ref] = Seat(txn.id, mark)
@@ -124,11 +127,9 @@
         return seat
 
     def run_ended(self, now: int, ref: int, news: RunEnded) -> None:
-        seat = self.seats[ref]
         good = news.outcome is Outcome.OK
         # A run that was begun for nobody is over unrun; whoever may still listen is told it came to nothing.
         self.put(ref, Step(Kind.SETTLE, body=news.result) if good else Step(Kind.VOID))
-        seat.ran = news.outcome is not Outcome.MOOT
         record = self.ledger.of(ref)
         if record is not None and not record.over:
             self.ledger.settle(record, news.result if good else None)
--- a/burlloom/executor/lines.py
+++ b/burlloom/executor/lines.py
@@ -10,6 +10,19 @@
 OPEN_ENDED = (b"METERS", b"BAD", b"LOG")
 
 
+def whole(text: str) -> int:
+    if not text.isdecimal():
+        raise Ended(Reason.UNREADABLE, f"number {text[:40]!r}")
+    return int(text)
+
+
+def real(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError as error:
+        raise Ended(Reason.UNREADABLE, f"number {text[:40]!r}") from error
+
+
 def notice(buffer: Buffer) -> tuple[list[str], memoryview] | None:
     """The next notice as words and a slice that is its body; None if it is not all there yet."""
     raw = buffer.view.obj
--- a/burlloom/executor/link.py
+++ b/burlloom/executor/link.py
@@ -32,12 +32,13 @@
         self.read_last = 0
         # Commands that no later answer proves to have arrived, in order; only these are in doubt when a link
         # is lost. All others must not be repeated: their run may have ended, and would run again.
-        self.doubtful: dict[tuple[str, str], bytes] = {}
-        self.metered: dict[str, tuple[asyncio.Future[list[float] | None], list[tuple[str, str]]]] = {}
+        self.doubtful: dict[tuple[str, str], tuple[int, bytes]] = {}
+        self.said = 0  # commands so far; a METER proves those up to its own place in the order
+        self.metered: dict[str, tuple[asyncio.Future[list[float] | None], int]] = {}
         self.tags = 0
         self.writer: Writer | None = None
         self.sock: socket.socket | None = None
-        self.joined = False
+        self.joined = self.replaying = False
         self.barrier = ""
 
     def run(self, id: str, product: str, body: bytes) -> None:
@@ -47,8 +48,9 @@
         self.command("RETURN", id, f"RETURN {id} {len(reply)}\r\n".encode() + reply + b"\r\n")
 
     def command(self, name: str, id: str, text: bytes) -> None:
+        self.said += 1
         self.doubtful.pop((name, id), None)
-        self.doubtful[name, id] = text
+        self.doubtful[name, id] = self.said, text
         if self.joined and self.writer is not None:
             self.writer.post(text)
 
@@ -69,13 +71,14 @@
         self.tags += 1
         tag = f"m{self.tags}"
         asked: asyncio.Future[list[float] | None] = asyncio.get_running_loop().create_future()
-        self.metered[tag] = asked, list(self.doubtful) if self.joined else []
+        self.metered[tag] = asked, self.said if self.joined else 0
         assert self.writer is not None
         self.writer.post(f"METER {tag}\r\n".encode())
         return asked
 
     async def keep(self) -> None:
         """Finds the executor, again whenever the link is lost."""
+        before: Reason | None = None
         while True:
             reason, detail = Reason.FAULT, ""
             sock: socket.socket | None = None
@@ -99,8 +102,10 @@
                 self.lost()
                 if sock is not None:
                     sock.close()
-            log.info("event=connection-ended side=executor reason=%s last=%d doubtful=%d detail=%r",
-                     reason.value, self.read_last, len(self.doubtful), detail)
+            if reason is not Reason.REFUSED or reason is not before:
+                log.info("event=connection-ended side=executor reason=%s last=%d doubtful=%d detail=%r",
+                         reason.value, self.read_last, len(self.doubtful), detail)
+            before = reason
             await asyncio.sleep(AGAIN)
 
     def lost(self) -> None:
@@ -124,28 +129,26 @@
                 return
             buffer.end += size
             while (notice := lines.notice(buffer)) is not None:
-                try:
-                    self.take(*notice)
-                except ValueError as error:
-                    raise Ended(Reason.UNREADABLE, f"{notice[0][0]}: {error}") from error
+                self.take(*notice)
 
     def take(self, words: list[str], body: memoryview) -> None:
         name, *values = words
         if name == "WELCOME":
             if values[0] not in ("EMPTY", "LOADED"):
-                raise ValueError(values[0])
-            self.welcome(values[0] == "EMPTY", int(values[1]))
+                raise Ended(Reason.UNREADABLE, f"state {values[0]}")
+            self.replaying = True
+            self.welcome(values[0] == "EMPTY", lines.whole(values[1]))
             # The replay ends where this is answered: only then is it known which commands were heard.
             self.meter()
             self.barrier = f"m{self.tags}"
         elif name == "METERS":
-            self.measured(values[0], [float(value) for value in values[1:]])
+            self.measured(values[0], [lines.real(value) for value in values[1:]])
         elif name == "BAD":
             self.bad(values)
         elif name == "LOG":
             log.info("event=executor-log text=%r", " ".join(values[1:]))
-            self.fresh(int(values[0]))
-        elif self.fresh(int(values[0])):
+            self.fresh(lines.whole(values[0]))
+        elif self.fresh(lines.whole(values[0])):
             id = values[1]
             self.doubtful.pop(("EXEC", id), None)
             self.doubtful.pop(("RETURN", id), None)
@@ -153,25 +156,28 @@
                 self.at_call(id, bytes(body))  # outlives the buffer: the call may be made later, and again
             else:
                 self.ended(id, End[values[2]] if values[2] in End.__members__ else End.FAIL,
-                           int(float(values[3]) * 1e6), bytes(body))
+                           int(lines.real(values[3]) * 1e6), bytes(body))
 
     def fresh(self, number: int) -> bool:
+        if number > self.read_last + 1 and not self.replaying:
+            raise Ended(Reason.UNREADABLE, f"notice {number} after {self.read_last}")
         if number > self.read_last + 1:
             # More than the executor keeps was said while there was no link: some ends are never learnt, and
             # what was in doubt may be among them. Not said again, it is voided in time and never run twice.
             log.error("event=notices-lost from=%d to=%d", self.read_last + 1, number - 1)
             self.doubtful.clear()
+        self.replaying = False
         fresh = number > self.read_last
         self.read_last = max(self.read_last, number)
         return fresh
 
     def measured(self, tag: str, values: list[float]) -> None:
-        asked, proven = self.metered.pop(tag, (None, []))
-        for command in proven:
-            self.doubtful.pop(command, None)
+        asked, proven = self.metered.pop(tag, (None, 0))
+        for command in [command for command, (place, _) in self.doubtful.items() if place <= proven]:
+            del self.doubtful[command]
         if tag == self.barrier and self.writer is not None:
             self.barrier, self.joined = "", True
-            self.writer.post(*self.doubtful.values())
+            self.writer.post(*(text for _, text in self.doubtful.values()))
         if asked is not None and not asked.done():
             asked.set_result(values)
 
--- a/burlloom/rpc/front.py
+++ b/burlloom/rpc/front.py
@@ -86,6 +86,9 @@
             reason, detail = Reason.PEER_RESET, error.strerror or ""
         except asyncio.CancelledError:
             reason = self.ended
+        except Exception:
+            log.exception("event=fault side=balancer peer=%s", self.peer)
+            await self.finish()
         finally:
             self.writer.end()
             self.front.connections.discard(self)
--- a/examples/stand_ins.py
+++ b/examples/stand_ins.py
@@ -27,7 +27,7 @@
         self.up.set()
         self.state, self.deaf = "LOADED", False
         self.link: asyncio.StreamWriter | None = None
-        self.meters, self.asked = "0.2 1 0.1 3", 0
+        self.meters, self.asked, self.tag, self.lost = "0.2 1 0.1 3", 0, "", 0
 
     async def start(self, address: str = ANY) -> "Executor":
         host, port = address.split(":")
@@ -46,12 +46,14 @@
                     writer.write(f"WELCOME {self.state} 90000\r\n".encode())
                     writer.writelines(self.notices[int(words[0]):])
                 elif name == "METER":
-                    self.asked += 1
+                    self.asked, self.tag = self.asked + 1, words[0]
                     if not self.deaf:
                         writer.write(f"METERS {words[0]} {self.meters}\r\n".encode())
                 else:
                     body = (await reader.readexactly(int(words[-1]) + 2))[:-2]
-                    if not self.deaf:  # else: lost on the way
+                    if self.deaf:  # lost on the way
+                        self.lost += 1
+                    else:
                         self.bodies[words[0]] = body
                         self.commands.put_nowait((name, *words[:-1]))
         except (ConnectionError, asyncio.IncompleteReadError):
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -130,8 +130,7 @@
     await rig.proven()
     executor.deaf = True
     third = balancer.ask("look", fields(), b"lost")
-    await until(lambda: balancer.given == 3)
-    await gets_health(balancer)
+    await until(lambda: executor.lost)
     executor.drop()
     executor.exit(ran, result=b"unheard")
     executor.deaf = False
@@ -150,6 +149,27 @@
         await soon(balancer.health())
 
 
+@played()
+async def test_an_earlier_meter_proves_no_later_reply(rig: Rig) -> None:
+    """One asked after the run's first reply and answered after its second: a lost second is said again."""
+    balancer, executor = await rig.balancer(), rig.executor
+    answer = balancer.ask("look", fields())
+    id = await rig.command("EXEC", "look")
+    executor.callout(id, b"first")
+    await rig.command("RETURN")
+    executor.deaf, asked = True, executor.asked
+    await until(lambda: executor.asked > asked)
+    tag = executor.tag
+    executor.callout(id, b"second")
+    await until(lambda: executor.lost)
+    executor.say(f"METERS {tag} 0.2 1 0.1 3\r\n".encode())
+    executor.drop()
+    executor.deaf = False
+    assert await rig.command("RETURN") == id
+    executor.exit(id, result=b"done")
+    await gets(answer, b"done")
+
+
 @played(deadline=2200000)
 async def test_notices_that_are_kept_no_more(rig: Rig) -> None:
     """A command in doubt whose end may be among them is not said again: it is voided, and never runs twice."""
@@ -157,7 +177,7 @@
     rig.errors = 1
     executor.deaf = True
     answer = balancer.ask("look", fields(cost="1"))
-    await gets_health(balancer)
+    await until(lambda: executor.lost)
     executor.drop()
     executor.notices += [b"", b""]
     executor.notify("LOG what came before is lost")
@@ -476,12 +496,14 @@
     answer = balancer.ask("look", fields())
     id = await rig.command("EXEC", "look")
     for count, line in enumerate([b"HELLO\r\n", b"EXIT x\r\n", b"EXIT 1 2 PASS 1 nine\r\n", b"x" * 5000,
-                                  b"CALLOUT 1 2 3\r\nabcde", b"EXIT one 2 PASS 1 0\r\n\r\n"], 2):
+                                  b"CALLOUT 1 2 3\r\nabcde", b"EXIT one 2 PASS 1 0\r\n\r\n",
+                                  b"LOG 99 from nowhere\r\n", b"METERS m1 x\r\n"], 2):
+        rig.executor.notify("LOG the next is garbage")
         rig.executor.say(line)
         await until(lambda: len(rig.executor.joins) == count)
     rig.executor.exit(id, result=b"still")
     await gets(answer, b"still")
-    assert rig.log().count("side=executor reason=unreadable") == 6
+    assert rig.log().count("side=executor reason=unreadable") == 8
 
 
 BROKEN = [None, "", "[]", "{}", json.dumps({**GIVEN, "settings": {**GIVEN["settings"], "categories": []}}),
