--- a/burlloom/catalogue/pool.py
+++ b/burlloom/catalogue/pool.py
@@ -14,8 +14,9 @@
 
 READ_BYTES = 16 << 10
 BODY_MOST = 1 << 20
-KEPT_FOR = 7.0  # seconds; the other side closes at 10, and a call that meets that close proves nothing
-KEPT_MOST = 32
+SECOND = 1_000_000_000
+KEPT_FOR = 7 * SECOND  # the other side closes at 10, and a call that meets that close proves nothing
+KEPT_MOST = 16
 
 
 class Answer(Enum):
@@ -68,16 +69,16 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
         self.host = f"{address[0]}:{address[1]}"
-        self.kept: list[tuple[socket.socket, float]] = []
+        self.kept: list[tuple[socket.socket, int]] = []
         self.open = 0
 
-    async def call(self, id: str, body: bytes, patience: float) -> tuple[Answer, bytes]:
-        """One call; given up when `patience` seconds are over, or the task is cancelled."""
+    async def call(self, id: str, body: bytes, patience: int) -> tuple[Answer, bytes]:
+        """One call; given up when `patience` is over, or the task is cancelled."""
         sock: socket.socket | None = None
         reply, wrote, keep, reason, detail = Reply(), False, False, Reason.GIVEN_UP, ""
         self.open += 1
         try:
-            async with asyncio.timeout(max(0.0, patience)):
+            async with asyncio.timeout(max(0, patience) / SECOND):
                 loop = asyncio.get_running_loop()
                 sock, fresh = self.take()
                 if fresh:
@@ -108,13 +109,13 @@
         finally:
             self.open -= 1
             if sock is not None and keep and len(self.kept) < KEPT_MOST:
-                self.kept.append((sock, time.monotonic()))
+                self.kept.append((sock, time.monotonic_ns()))
             elif sock is not None:
                 self.end(sock, reason, detail)
 
-    def text(self, id: str, body: bytes, patience: float) -> bytes:
+    def text(self, id: str, body: bytes, patience: int) -> bytes:
         return (f"POST /fetch HTTP/1.1\r\nHost: {self.host}\r\nX-On-Behalf: {id}\r\n"
-                f"X-Patience: {max(1, int(patience * 1000))}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
+                f"X-Patience: {max(1, patience // 1_000_000)}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
 
     async def read(self, sock: socket.socket, reply: Reply) -> None:
         loop, room = asyncio.get_running_loop(), memoryview(bytearray(READ_BYTES))
@@ -128,7 +129,7 @@
         """A kept connection that is still good, the last used first; or else a new one."""
         while self.kept:
             sock, since = self.kept.pop()
-            if time.monotonic() - since < KEPT_FOR and quiet(sock):
+            if time.monotonic_ns() - since < KEPT_FOR and quiet(sock):
                 return sock, False
             self.end(sock, Reason.IDLE, "")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -138,7 +139,7 @@
 
     def sweep(self) -> None:
         """Closes what has been kept too long to be used again."""
-        while self.kept and time.monotonic() - self.kept[0][1] >= KEPT_FOR:
+        while self.kept and time.monotonic_ns() - self.kept[0][1] >= KEPT_FOR:
             self.end(self.kept.pop(0)[0], Reason.IDLE, "")
 
     def end(self, sock: socket.socket, reason: Reason, detail: str) -> None:
--- a/burlloom/executor/link.py
+++ b/burlloom/executor/link.py
@@ -12,7 +12,8 @@
 log = logging.getLogger(__name__)
 
 READ_BYTES = 64 << 10
-AGAIN = 0.05  # seconds between tries to find the executor
+SECOND = 1_000_000_000
+AGAIN = SECOND // 20  # between tries to find the executor
 SILENT_AFTER = 50  # questions unanswered, of which there are about ten a second
 
 
@@ -54,8 +55,8 @@
         if self.joined and self.writer is not None:
             self.writer.post(text)
 
-    async def gauges(self, patience: float) -> list[float] | None:
-        """What the executor measures now; None if it does not say so within `patience` seconds."""
+    async def gauges(self, patience: int) -> list[float] | None:
+        """What the executor measures now; None if it does not say so within `patience`."""
         if not self.joined:
             return None
         if len(self.metered) > SILENT_AFTER and self.sock is not None:
@@ -64,7 +65,7 @@
             self.sock.shutdown(socket.SHUT_RDWR)
             return None
         asked = self.meter()
-        done, _ = await asyncio.wait({asked}, timeout=patience)
+        done, _ = await asyncio.wait({asked}, timeout=patience / SECOND)
         return asked.result() if done else None
 
     def meter(self) -> "asyncio.Future[list[float] | None]":
@@ -106,7 +107,7 @@
                 log.info("event=connection-ended side=executor reason=%s last=%d doubtful=%d detail=%r",
                          reason.value, self.read_last, len(self.doubtful), detail)
             before = reason
-            await asyncio.sleep(AGAIN)
+            await asyncio.sleep(AGAIN / SECOND)
 
     def lost(self) -> None:
         if self.writer is not None:
--- a/burlloom/interface.py
+++ b/burlloom/interface.py
@@ -1,6 +1,6 @@
 """What the decisions are told of a server and its txns, and what they may do to them.
 
-Whoever hosts a `Choice` (the bench adapter now, the server later) builds a `ServerFacts`, implements
+Whoever hosts a `Choice` (the server's desk, or the bench's adapter) builds a `ServerFacts`, implements
 `Effects`, and calls the methods that the head of `choice.py` lists. All times are whole nanoseconds on
 the host's clock; txns, products and callers are small indices that the host gives out.
 """
--- a/burlloom/naming/reports.py
+++ b/burlloom/naming/reports.py
@@ -6,7 +6,8 @@
 
 log = logging.getLogger(__name__)
 
-EVERY = 1.0
+SECOND = 1_000_000_000
+EVERY = SECOND
 
 
 class Reports:
@@ -37,4 +38,4 @@
         while True:
             if self.said is not None:
                 self.report()
-            await asyncio.sleep(EVERY)
+            await asyncio.sleep(EVERY / SECOND)
--- a/burlloom/rpc/front.py
+++ b/burlloom/rpc/front.py
@@ -13,12 +13,12 @@
 
 log = logging.getLogger(__name__)
 
-MS = 1_000_000
+MS, SECOND = 1_000_000, 1_000_000_000
 READ_BYTES = 4 << 10
 BODY_BYTES = 2 << 10
 UNSENT_MOST = 1 << 20  # one that waits for 32 answers can't be owed a fifth of it
 BACKLOG = 1024
-MOMENT = 0.01
+MOMENT = 10 * MS
 SHUTDOWN = frames.notification("shutdown")
 TXN_ID = re.compile(r"[0-9a-fA-F]{1,64}")
 
@@ -223,7 +223,7 @@
         return {"say": said} if said else {}
 
     async def moment(self) -> None:
-        await asyncio.sleep(MOMENT)
+        await asyncio.sleep(MOMENT / SECOND)
 
     def listen(self) -> None:
         if self.listener is not None:
@@ -244,7 +244,7 @@
             log.warning("event=accept-failed detail=%r", error.strerror)
             if self.listener is not None:
                 loop.remove_reader(self.listener)
-                loop.call_later(MOMENT, self.listen)
+                loop.call_later(MOMENT / SECOND, self.listen)
 
     def met(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         sock.setblocking(False)
--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -19,8 +19,9 @@
 
 log = logging.getLogger(__name__)
 
-MS = 1_000_000
-GAUGES_WAIT = 0.03  # seconds; gauges later than this are of another moment
+MS, SECOND = 1_000_000, 1_000_000_000
+MOMENT = 10 * MS
+GAUGES_WAIT = 30 * MS  # gauges later than this are of another moment
 LAST_WRITES = 250 * MS  # before the kill: what the last answers and this process need to get out
 RUN_OUTCOME = {End.PASS: Outcome.OK, End.FAIL: Outcome.FAILED, End.KILLED: Outcome.STOPPED,
                End.NOOP: Outcome.MOOT, End.BAD: Outcome.FAILED}
@@ -108,7 +109,7 @@
 
     async def call(self, desk: Desk, id: str, step: Step) -> None:
         began = self.clock()
-        answer, reply = await self.pool.call(id, step.body, (step.until - began) / 1e9)
+        answer, reply = await self.pool.call(id, step.body, step.until - began)
         if answer is Answer.WELL:
             self.link.give(id, reply)
         desk.report(CallEnded(id, CALL_OUTCOME[answer], self.clock() - began))
@@ -138,7 +139,7 @@
     async def beat(self, desk: Desk) -> None:
         due = desk.tick(Gauges())
         while True:
-            await asyncio.sleep(max(0, due - self.clock()) / 1e9)
+            await asyncio.sleep(max(0, due - self.clock()) / SECOND)
             try:
                 values = await self.link.gauges(GAUGES_WAIT)
                 fresh = values is not None and len(values) == len(self.orders.meters)
@@ -169,10 +170,10 @@
         """Serves on while newcomers may still be run; then asks the callers to go and waits for them."""
         if self.desk is not None:
             serve_until = min(now + self.orders.facts.grace, stop - 2 * LAST_WRITES)
-            await asyncio.sleep(max(0, serve_until - self.clock()) / 1e9)
+            await asyncio.sleep(max(0, serve_until - self.clock()) / SECOND)
         self.front.leave()
         while self.front.connections and self.clock() < stop:
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(MOMENT / SECOND)
         while (self.front.busy or self.serving) and self.clock() < stop + LAST_WRITES // 2:
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(MOMENT / SECOND)
         self.over.set()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -339,12 +339,22 @@
 async def test_reports_to_the_name_service(rig: Rig) -> None:
     reports = [await soon(rig.naming.reports.get()) for _ in range(3)]
     assert set(reports) == {"renew n1 yes"}
+    await gets_one(rig, await rig.balancer())
     rig.process.send_signal(signal.SIGTERM)
     while reports[-1] == "renew n1 yes":
         reports.append(await soon(rig.naming.reports.get()))
     assert reports[-1] == "renew n1 no"
 
 
+@played()
+async def test_a_silent_name_service_changes_nothing(rig: Rig) -> None:
+    balancer = await rig.balancer()
+    await soon(rig.naming.reports.get())
+    rig.naming.transport.close()
+    await gets_health(balancer)
+    await gets_one(rig, balancer)
+
+
 @played(n_cores=1)
 async def test_drain_answers_all(rig: Rig) -> None:
     """What runs, what is held, and what waits on a connection the program has not yet accepted."""
