--- a/burlloom/catalogue/pool.py
+++ b/burlloom/catalogue/pool.py
@@ -114,8 +114,9 @@
                 self.end(sock, reason, detail)
 
     def text(self, id: str, body: bytes, patience: int) -> bytes:
-        return (f"POST /fetch HTTP/1.1\r\nHost: {self.host}\r\nX-On-Behalf: {id}\r\n"
-                f"X-Patience: {max(1, patience // 1_000_000)}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
+        head = (f"POST /fetch HTTP/1.1\r\nHost: {self.host}\r\nX-On-Behalf: {id}\r\n"
+                f"X-Patience: {max(1, patience // 1_000_000)}\r\nContent-Length: {len(body)}\r\n\r\n")
+        return head.encode() + body
 
     async def read(self, sock: socket.socket, reply: Reply) -> None:
         loop, room = asyncio.get_running_loop(), memoryview(bytearray(READ_BYTES))
--- a/burlloom/desk/desk.py
+++ b/burlloom/desk/desk.py
@@ -113,7 +113,8 @@
         elif self.facts.fresh and product.repeatable is Repeatable.INQUIRY and txn.key:
             mark = f"{txn.product} {txn.key}"
         if len(self.callers) >= CALLERS_MOST:
-            self.callers.clear()  # against names without end; an index given anew only blurs who has a txn here
+            # Against names without end; an index given anew only blurs who has a txn here.
+            self.callers.clear()
         ref = self.given
         self.given += 1
         seat = self.seats[ref] = Seat(txn.id, mark)
--- a/burlloom/desk/ledger.py
+++ b/burlloom/desk/ledger.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-RESULTS_BYTES = 16 << 20  # of kept results in all; a result is at most 4 KiB and the decisions bound the marks
+RESULTS_BYTES = 16 << 20  # of kept results in all; the decisions bound the marks
 
 
 class Record:
--- a/burlloom/executor/link.py
+++ b/burlloom/executor/link.py
@@ -27,7 +27,8 @@
 
 class Link:
     def __init__(self, address: tuple[str, int], tasks: Tasks, welcome: Callable[[bool, int], None],
-                 ended: Callable[[str, End, int, bytes], None], at_call: Callable[[str, bytes], None]) -> None:
+                 ended: Callable[[str, End, int, bytes], None],
+                 at_call: Callable[[str, bytes], None]) -> None:
         self.address, self.tasks = address, tasks
         self.welcome, self.ended, self.at_call = welcome, ended, at_call
         self.read_last = 0
--- a/burlloom/rpc/frames.py
+++ b/burlloom/rpc/frames.py
@@ -87,18 +87,18 @@
         return dict(pairs)
 
 
-def request(view: memoryview, start: int, end: int) -> tuple[int, str, list[Any], int]:
-    """Message id, method and parameters of the request that begins here, and where the next does."""
+def request(view: memoryview, start: int, end: int) -> tuple[int, tuple[int, str, list[Any]]]:
+    """Where the next request begins; message id, method and parameters of the one here."""
     reader = Reader(view, start, end)
     frame = reader.value()
     if not isinstance(frame, list) or len(frame) != 4:
         raise Ended(Reason.UNREADABLE, "not a request")
     kind, number, method, params = frame
-    if type(kind) is not int or type(number) is not int or type(method) is not str or type(params) is not list:
+    if [type(part) for part in frame] != [int, int, str, list]:
         raise Ended(Reason.WRONG_TYPE, "of a request's parts")
     if kind != 0 or number < 0:
         raise Ended(Reason.UNREADABLE, f"message type {kind}")
-    return number, method, params, reader.at
+    return reader.at, (number, method, params)
 
 
 def result(number: int, body: bytes, fields: dict[str, str]) -> tuple[bytes, ...]:
--- a/burlloom/rpc/front.py
+++ b/burlloom/rpc/front.py
@@ -93,8 +93,8 @@
             self.writer.end()
             self.front.connections.discard(self)
             self.sock.close()
-            log.info("event=connection-ended side=balancer peer=%s reason=%s txns=%d answers=%d lost=%d detail=%r",
-                     self.peer, reason.value, self.txns, self.answers, len(self.open), detail)
+            log.info("event=connection-ended side=balancer peer=%s reason=%s txns=%d answers=%d lost=%d "
+                     "detail=%r", self.peer, reason.value, self.txns, self.answers, len(self.open), detail)
 
     async def read(self) -> None:
         loop, buffer = asyncio.get_running_loop(), self.buffer
@@ -111,8 +111,8 @@
             buffer.end += size
             try:
                 while buffer.start < buffer.end:
-                    number, method, params, buffer.start = frames.request(buffer.view, buffer.start, buffer.end)
-                    self.take(number, method, params)
+                    buffer.start, request = frames.request(buffer.view, buffer.start, buffer.end)
+                    self.take(*request)
             except frames.Short:
                 continue
 
@@ -207,11 +207,11 @@
 
 
 class Front:
-    """Accepts connections; hands each txn that is read to `txn`, with what it asks of the rest of the server."""
+    """Accepts connections, hands each txn that is read to `txn`, and asks the rest of the server."""
 
-    def __init__(self, listener: socket.socket, products: dict[str, bool], tasks: Tasks, clock: Callable[[], int],
-                 txn: Callable[[Asked], None], knows: Callable[[str], bool], good: Callable[[], bool],
-                 said: Callable[[], str]) -> None:
+    def __init__(self, listener: socket.socket, products: dict[str, bool], tasks: Tasks,
+                 clock: Callable[[], int], txn: Callable[[Asked], None], knows: Callable[[str], bool],
+                 good: Callable[[], bool], said: Callable[[], str]) -> None:
         self.products, self.tasks, self.clock = products, tasks, clock
         self.txn, self.knows, self.good, self.said = txn, knows, good, said
         self.connections: set[Connection] = set()
--- a/burlloom/sockets/buffer.py
+++ b/burlloom/sockets/buffer.py
@@ -2,7 +2,7 @@
 
 
 class Buffer:
-    """Slices of it hold until the next `room`, which may move what is left to the front or to a larger one."""
+    """Its slices hold until the next `room`, which may write over them."""
 
     def __init__(self, size: int, most: int) -> None:
         self.most = most
--- a/examples/stand_ins.py
+++ b/examples/stand_ins.py
@@ -213,7 +213,8 @@
         self.waiting[self.given] = asyncio.get_running_loop().create_future()
         return bytes(msgpack.packb([0, self.given, product, [fields, body]]))
 
-    def ask(self, product: str, fields: dict[str, str], body: bytes = b"") -> "asyncio.Future[tuple[Any, Any]]":
+    def ask(self, product: str, fields: dict[str, str],
+            body: bytes = b"") -> "asyncio.Future[tuple[Any, Any]]":
         self.writer.write(self.frame(product, fields, body))
         return self.waiting[self.given]
 
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -66,8 +66,8 @@
     once = secrets.token_hex(16)
     for turn in range(count + 1):
         last = turn >= count - 1  # and one repeat of it, which must not run again
-        told = {"id": secrets.token_hex(8), "at": str(time.time_ns() // 1_000_000), "from": "1", "cost": "100",
-                "kb": "24.5", "rank": "0.6250", **({"once": once} if last else {})}
+        told = {"id": secrets.token_hex(8), "at": str(time.time_ns() // 1_000_000), "from": "1",
+                "cost": "100", "kb": "24.5", "rank": "0.6250", **({"once": once} if last else {})}
         body = f"txn {min(turn, count - 1) + 1}".encode()
         error, result = await balancer.ask("pay" if last else "look", told, body)
         print(f"{told['id']} {body.decode()}: {error or result}")
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -172,7 +173,7 @@
 
 @played(deadline=2200000)
 async def test_notices_that_are_kept_no_more(rig: Rig) -> None:
-    """A command in doubt whose end may be among them is not said again: it is voided, and never runs twice."""
+    """A command in doubt whose end may be among them is not said again: it is voided, never run twice."""
     balancer, executor = await rig.balancer(), rig.executor
     rig.errors = 1
     executor.deaf = True
@@ -259,8 +260,8 @@
 
 
 PROVEN = [(503, True, b""), (409, True, b"")]
-UNPROVEN = [(500, False, b""), (504, False, b""), (503, False, b""), (409, False, b""), "close", "reset", "half",
-            "garbage"]
+UNPROVEN = [(500, False, b""), (504, False, b""), (503, False, b""), (409, False, b""),
+            "close", "reset", "half", "garbage"]
 
 
 @pytest.mark.parametrize("product", ["look", "pay"])
@@ -448,7 +449,8 @@
                    b"\x94\x00\x01\xa1\xff\x90"],
     "wrong-type": [request("1", "look", [{}, b""]), request(1, "look", {}), request(1, "look", [{}, "text"]),
                    request(1, "look", [{"id": 1}, b""]), request(1, "look", [{"id": "ab"}])],
-    "too-large": [request(1, "look", [fields(), b"x" * 2049]), b"\x94\x00\x01\xa4look\x92\x80\xc6\xff\xff\xff\xff"],
+    "too-large": [request(1, "look", [fields(), b"x" * 2049]),
+                  b"\x94\x00\x01\xa4look\x92\x80\xc6\xff\xff\xff\xff"],
     "repeated-id": [request(1, "health", [{}]) * 2, request(1, "health", [{}]) + request(0, "health", [{}])],
 }
 
@@ -516,17 +518,21 @@
     assert rig.log().count("side=executor reason=unreadable") == 8
 
 
-BROKEN = [None, "", "[]", "{}", json.dumps({**GIVEN, "settings": {**GIVEN["settings"], "categories": []}}),
-          json.dumps({**GIVEN, "listen": "192.0.2.1:1"}), json.dumps({**GIVEN, "listen": "here"}), json.dumps({**GIVEN, "settings": {}}),
-          json.dumps({**GIVEN, "seed": "xyz"}), json.dumps({**GIVEN, "seed": 7}), json.dumps({**GIVEN, "limits": 1,
-          "stop_ms": "soon"})]
+def broken(**changes: Any) -> str:
+    return json.dumps({**GIVEN, **changes})
+
+
+BROKEN = [None, "", "[]", "{}", broken(listen="here"), broken(listen="127.0.0.1:TAKEN"), broken(settings={}),
+          broken(settings={**GIVEN["settings"], "categories": []}), broken(seed="xyz"), broken(seed=7),
+          broken(stop_ms="soon")]
 
 
 @pytest.mark.parametrize("text", BROKEN, ids=range(len(BROKEN)))
 def test_broken_configuration(text: str | None, tmp_path: Path) -> None:
     path = tmp_path / "configuration.json"
-    if text is not None:
-        path.write_text(text)
-    done = subprocess.run([sys.executable, "-m", "burlloom.server"], cwd=ROOT, capture_output=True, timeout=20,
-                          env={"EDGE_CONFIG": str(path), "PATH": ""})
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        if text is not None:
+            path.write_text(text.replace("TAKEN", str(taken.getsockname()[1])))
+        done = subprocess.run([sys.executable, "-m", "burlloom.server"], cwd=ROOT, capture_output=True,
+                              timeout=20, env={"EDGE_CONFIG": str(path), "PATH": ""})
     assert (done.returncode, done.stdout, done.stderr.count(b"\n")) == (2, b"", 1), done
