A call that no run waits for is not made again at once; calls that fail are logged

Seen by reading: a 409 proves that nothing ran, so the decisions repeat the call, which meets the next 409 a millisecond later; five in a row open the breaker for all txns, while the run's end is still on its way (longer with the link down). server/assembly.py now waits a quarter of a second for that end.

--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -22,6 +22,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 MOMENT = 10 * MS
 GAUGES_WAIT = 30 * MS  # gauges later than this are of another moment
+UNWANTED_WAIT = 250 * MS
 LAST_WRITES = 250 * MS  # before the kill: what the last answers and this process need to get out
 RUN_OUTCOME = {End.PASS: Outcome.OK, End.FAIL: Outcome.FAILED, End.KILLED: Outcome.STOPPED,
                End.NOOP: Outcome.MOOT, End.BAD: Outcome.FAILED}
@@ -112,6 +113,12 @@
         answer, reply = await self.pool.call(id, step.body, step.until - began)
         if answer is Answer.WELL:
             self.link.give(id, reply)
+        else:
+            log.info("event=call-failed id=%s answer=%s ms=%d", id, answer.value, (self.clock() - began) // MS)
+        if answer is Answer.UNWANTED:
+            # No run waits for it, so the end of the run is on its way, and cancels this. Told at once, the
+            # decisions would call again and again, and soon take the catalogue for one that is down.
+            await asyncio.sleep(UNWANTED_WAIT / SECOND)
         desk.report(CallEnded(id, CALL_OUTCOME[answer], self.clock() - began))
 
     def good(self) -> bool:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -287,6 +287,20 @@
     asyncio.run(play())
 
 
+@played()
+async def test_a_call_that_no_run_waits_for(rig: Rig) -> None:
+    """The run's end, which follows, comes before another call is made."""
+    balancer = await rig.balancer()
+    rig.replies = [(409, True, b"")] * 9
+    answer = balancer.ask("look", fields())
+    id = await rig.command("EXEC", "look")
+    rig.executor.callout(id)
+    await until(lambda: "answer=unwanted" in rig.log())
+    rig.executor.exit(id, "KILLED")
+    await fails(answer, "Voided")
+    assert len(rig.catalogue.calls) == 1
+
+
 @played(n_cores=4)
 async def test_catalogue_down_and_kept_connections_closed(rig: Rig) -> None:
     balancer = await rig.balancer()
