--- a/burlloom/executor/link.py
+++ b/burlloom/executor/link.py
@@ -14,7 +14,8 @@
 READ_BYTES = 64 << 10
 SECOND = 1_000_000_000
 AGAIN = SECOND // 20  # between tries to find the executor
-SILENT_AFTER = 50  # questions unanswered, of which there are about ten a second
+SILENT_AFTER = 30  # rounds in a row whose METER is not answered in time
+PROVE_AFTER = SECOND // 40  # between a command and the METER that proves it
 
 
 class End(Enum):
@@ -41,7 +42,8 @@
         self.writer: Writer | None = None
         self.sock: socket.socket | None = None
         self.joined = self.replaying = False
-        self.barrier = ""
+        self.barrier, self.silent = "", 0
+        self.proof: asyncio.TimerHandle | None = None
 
     def run(self, id: str, product: str, body: bytes) -> None:
         self.command("EXEC", id, f"EXEC {id} {product} {len(body)}\r\n".encode() + body + b"\r\n")
@@ -55,18 +57,28 @@
         self.doubtful[name, id] = self.said, text
         if self.joined and self.writer is not None:
             self.writer.post(text)
+            if self.proof is None:
+                # Not only once a round: what is in doubt when a link is lost is said again, and the less of
+                # it had arrived after all, the less a repeat can find its run one call further, or over.
+                self.proof = asyncio.get_running_loop().call_later(PROVE_AFTER / SECOND, self.prove)
+
+    def prove(self) -> None:
+        self.proof = None
+        if self.joined and self.doubtful:
+            self.meter()
 
     async def gauges(self, patience: int) -> list[float] | None:
         """What the executor measures now; None if it does not say so within `patience`."""
         if not self.joined:
             return None
-        if len(self.metered) > SILENT_AFTER and self.sock is not None:
-            # Against a link that stays open with nobody at its other end: a new one brings what was missed.
-            log.warning("event=executor-silent unanswered=%d", len(self.metered))
-            self.sock.shutdown(socket.SHUT_RDWR)
-            return None
         asked = self.meter()
         done, _ = await asyncio.wait({asked}, timeout=patience / SECOND)
+        self.silent = 0 if done else self.silent + 1
+        if self.silent > SILENT_AFTER and self.sock is not None:
+            # Against a link that stays open with nobody at its other end: a new one brings what was missed.
+            log.warning("event=executor-silent rounds=%d", self.silent)
+            self.silent = 0
+            self.sock.shutdown(socket.SHUT_RDWR)
         return asked.result() if done else None
 
     def meter(self) -> "asyncio.Future[list[float] | None]":
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -171,6 +171,16 @@
     await gets(answer, b"done")
 
 
+@played()
+async def test_a_link_that_is_open_but_silent(rig: Rig) -> None:
+    balancer = await rig.balancer()
+    rig.executor.deaf = True
+    await until(lambda: "event=executor-silent" in rig.log())
+    rig.executor.deaf = False
+    await gets_one(rig, balancer)
+    assert rig.executor.joins == [0, 0]
+
+
 @played(deadline=2200000)
 async def test_notices_that_are_kept_no_more(rig: Rig) -> None:
     """A command in doubt whose end may be among them is not said again: it is voided, never run twice."""
