A result of any size is answered whole; a txn counts as answered only once its answer is posted

Seen by reading: a result past 64 KiB did not fit its length, and the error came after the txn was marked answered (server/assembly.py), so it would have had no answer at all.

--- a/burlloom/rpc/frames.py
+++ b/burlloom/rpc/frames.py
@@ -104,7 +104,7 @@
 def result(number: int, body: bytes, fields: dict[str, str]) -> tuple[bytes, ...]:
     # [1, number, nil, [body, fields]]: 0x92 opens the list of two
     head = b"\x94\x01" + msgpack.packb(number) + b"\xc0\x92"
-    return head + b"\xc5" + struct.pack(">H", len(body)), body, msgpack.packb(fields)
+    return head + b"\xc6" + struct.pack(">I", len(body)), body, msgpack.packb(fields)
 
 
 def error(number: int, name: str, fields: dict[str, str]) -> bytes:
--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -89,7 +89,6 @@
         try:
             while not answered:
                 step = await desk.pick(txn)
-                answered = step.kind not in (Kind.RUN, Kind.CALL)
                 match step.kind:
                     case Kind.RUN:
                         self.link.run(asked.id, asked.product, asked.body)
@@ -101,6 +100,7 @@
                         asked.decline(step.stay_away, step.final)
                     case Kind.VOID:
                         asked.void()
+                answered = step.kind not in (Kind.RUN, Kind.CALL)
         finally:
             if not answered:
                 asked.void()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -53,8 +53,12 @@
             await asyncio.sleep(0)
     id = await rig.command("EXEC", "look")
     assert rig.executor.bodies[id] == body
+    waiting = [balancer.waiting[1]]
     rig.executor.exit(id, result=result)
-    await gets(balancer.waiting[1], result)
+    await gets(waiting[0], result)
+    waiting = [balancer.ask("look", fields())]
+    rig.executor.exit(await rig.command("EXEC", "look"), result=b"z" * 70000)
+    await gets(waiting[0], b"z" * 70000)
     told = [fields() for _ in range(32)]
     frames = [balancer.frame("look", one, one["id"].encode()) for one in told]
     waiting = [balancer.waiting[number] for number in sorted(balancer.waiting)]
@@ -65,7 +69,7 @@
         rig.executor.exit(id, result=b"of " + id.encode())
     for one, answer in zip(told, waiting):
         await gets(answer, b"of " + one["id"].encode())
-    assert balancer.answers == 33
+    assert balancer.answers == 34
 
 
 @played(n_cores=1, memory_kb=1000, idle=2000000)
