Stream sockets and spans of time are made in one place; state that can be derived is gone

Seen on reading the whole change again: three places set up a stream socket with the same three lines and five had a second of their own; both are in burlloom/sockets now. Dropped as dead or derived: Buffer.clear, Pool.open, the link's own socket beside its writer's, Front.moment, a name that codec passed on. The toy and the tests share one txn's fields, and a balancer's two kinds of frame one way to make them. Behaviour is unchanged.

--- a/burlloom/catalogue/pool.py
+++ b/burlloom/catalogue/pool.py
@@ -8,13 +8,12 @@
 
 import httptools
 
-from ..sockets import Ended, Reason
+from ..sockets import MS, SECOND, Ended, Reason, stream
 
 log = logging.getLogger(__name__)
 
 READ_BYTES = 16 << 10
 BODY_MOST = 1 << 20
-SECOND = 1_000_000_000
 KEPT_FOR = 7 * SECOND  # the other side closes at 10, and a call that meets that close proves nothing
 KEPT_MOST = 16
 
@@ -70,18 +69,16 @@
         self.address = address
         self.host = f"{address[0]}:{address[1]}"
         self.kept: list[tuple[socket.socket, int]] = []
-        self.open = 0
 
     async def call(self, id: str, body: bytes, patience: int) -> tuple[Answer, bytes]:
         """One call; given up when `patience` is over, or the task is cancelled."""
         sock: socket.socket | None = None
         reply, wrote, keep, reason, detail = Reply(), False, False, Reason.GIVEN_UP, ""
-        self.open += 1
         try:
             async with asyncio.timeout(max(0, patience) / SECOND):
                 loop = asyncio.get_running_loop()
-                sock, fresh = self.take()
-                if fresh:
+                sock, new = self.take()
+                if new:
                     await loop.sock_connect(sock, self.address)
                 wrote = True
                 await loop.sock_sendall(sock, self.text(id, body, patience))
@@ -107,7 +104,6 @@
             reason, detail = Reason.PEER_RESET, error.strerror or ""
             return Answer.BROKEN if wrote else Answer.UNREACHED, b""
         finally:
-            self.open -= 1
             if sock is not None and keep and len(self.kept) < KEPT_MOST:
                 self.kept.append((sock, time.monotonic_ns()))
             elif sock is not None:
@@ -115,7 +111,7 @@
 
     def text(self, id: str, body: bytes, patience: int) -> bytes:
         head = (f"POST /fetch HTTP/1.1\r\nHost: {self.host}\r\nX-On-Behalf: {id}\r\n"
-                f"X-Patience: {max(1, patience // 1_000_000)}\r\nContent-Length: {len(body)}\r\n\r\n")
+                f"X-Patience: {max(1, patience // MS)}\r\nContent-Length: {len(body)}\r\n\r\n")
         return head.encode() + body
 
     async def read(self, sock: socket.socket, reply: Reply) -> None:
@@ -127,16 +123,13 @@
             reply.parser.feed_data(room[:size])
 
     def take(self) -> tuple[socket.socket, bool]:
-        """A kept connection that is still good, the last used first; or else a new one."""
+        """A kept connection that is still good, the last used first; or else a new one, and whether it is."""
         while self.kept:
             sock, since = self.kept.pop()
             if time.monotonic_ns() - since < KEPT_FOR and quiet(sock):
                 return sock, False
             self.end(sock, Reason.IDLE, "")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return sock, True
+        return stream(), True
 
     def sweep(self) -> None:
         """Closes what has been kept too long to be used again."""
--- a/burlloom/executor/link.py
+++ b/burlloom/executor/link.py
@@ -6,13 +6,12 @@
 from collections.abc import Callable
 from enum import Enum
 
-from ..sockets import Buffer, Ended, Reason, Tasks, Writer
+from ..sockets import SECOND, Buffer, Ended, Reason, Tasks, Writer, rest, stream
 from . import lines
 
 log = logging.getLogger(__name__)
 
 READ_BYTES = 64 << 10
-SECOND = 1_000_000_000
 AGAIN = SECOND // 20  # between tries to find the executor
 SILENT_AFTER = 30  # rounds in a row whose METER is not answered in time
 PROVE_AFTER = SECOND // 40  # between a command and the METER that proves it
@@ -40,7 +39,6 @@
         self.metered: dict[str, tuple[asyncio.Future[list[float] | None], int]] = {}
         self.tags = 0
         self.writer: Writer | None = None
-        self.sock: socket.socket | None = None
         self.joined = self.replaying = False
         self.barrier, self.silent = "", 0
         self.proof: asyncio.TimerHandle | None = None
@@ -74,11 +72,11 @@
         asked = self.meter()
         done, _ = await asyncio.wait({asked}, timeout=patience / SECOND)
         self.silent = 0 if done else self.silent + 1
-        if self.silent > SILENT_AFTER and self.sock is not None:
+        if self.silent > SILENT_AFTER and self.writer is not None:
             # Against a link that stays open with nobody at its other end: a new one brings what was missed.
             log.warning("event=executor-silent rounds=%d", self.silent)
             self.silent = 0
-            self.sock.shutdown(socket.SHUT_RDWR)
+            self.writer.sock.shutdown(socket.SHUT_RDWR)
         return asked.result() if done else None
 
     def meter(self) -> "asyncio.Future[list[float] | None]":
@@ -97,9 +95,7 @@
             reason, detail = Reason.FAULT, ""
             sock: socket.socket | None = None
             try:
-                sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-                sock.setblocking(False)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sock = stream()
                 await asyncio.get_running_loop().sock_connect(sock, self.address)
                 await self.listen(sock)
                 reason = Reason.PEER_CLOSED
@@ -120,12 +116,12 @@
                 log.info("event=connection-ended side=executor reason=%s last=%d doubtful=%d detail=%r",
                          reason.value, self.read_last, len(self.doubtful), detail)
             before = reason
-            await asyncio.sleep(AGAIN / SECOND)
+            await rest(AGAIN)
 
     def lost(self) -> None:
         if self.writer is not None:
             self.writer.end()
-        self.sock = self.writer = None
+        self.writer = None
         self.joined, self.barrier = False, ""
         for asked, _ in self.metered.values():
             if not asked.done():
@@ -135,7 +131,7 @@
     async def listen(self, sock: socket.socket) -> None:
         loop, buffer = asyncio.get_running_loop(), Buffer(READ_BYTES, 4 * lines.BODY_MOST)
         # A write that fails is followed by a read that fails too.
-        self.sock, self.writer = sock, Writer(sock, self.tasks, lambda: None)
+        self.writer = Writer(sock, self.tasks, lambda: None)
         self.writer.post(f"JOIN {self.read_last}\r\n".encode())
         while True:
             size = await loop.sock_recv_into(sock, buffer.room())
--- a/burlloom/naming/reports.py
+++ b/burlloom/naming/reports.py
@@ -1,12 +1,12 @@
 """One datagram a second, and one at each change; nothing ever comes back."""
 
-import asyncio
 import logging
 import socket
 
+from ..sockets import SECOND, rest
+
 log = logging.getLogger(__name__)
 
-SECOND = 1_000_000_000
 EVERY = SECOND
 
 
@@ -38,4 +38,4 @@
         while True:
             if self.said is not None:
                 self.report()
-            await asyncio.sleep(EVERY / SECOND)
+            await rest(EVERY)
--- a/burlloom/rpc/front.py
+++ b/burlloom/rpc/front.py
@@ -8,12 +8,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..sockets import Buffer, Ended, Reason, Tasks, Writer
+from ..sockets import MS, SECOND, Buffer, Ended, Reason, Tasks, Writer, ready, rest
 from . import frames
 
 log = logging.getLogger(__name__)
 
-MS, SECOND = 1_000_000, 1_000_000_000
 READ_BYTES = 4 << 10
 BODY_BYTES = 2 << 10
 UNSENT_MOST = 1 << 20  # one that waits for 32 answers can't be owed a fifth of it
@@ -134,7 +133,7 @@
 
     async def answered(self) -> None:
         while self.open or self.writer.unsent:
-            await self.front.moment()
+            await rest(MOMENT)
 
     def broken(self) -> None:
         if self.reader is not None:
@@ -222,9 +221,6 @@
         said = self.said()
         return {"say": said} if said else {}
 
-    async def moment(self) -> None:
-        await asyncio.sleep(MOMENT / SECOND)
-
     def listen(self) -> None:
         if self.listener is not None:
             self.listener.setblocking(False)
@@ -247,9 +243,7 @@
                 loop.call_later(MOMENT / SECOND, self.listen)
 
     def met(self, sock: socket.socket, peer: tuple[str, int]) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = Connection(self, sock, f"{peer[0]}:{peer[1]}")
+        connection = Connection(self, ready(sock), f"{peer[0]}:{peer[1]}")
         self.connections.add(connection)
         connection.reader = self.tasks.start(connection.serve(), "connection")
         if self.leaving:
--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -14,12 +14,11 @@
 from ..interface import Gauges, Outcome, Repeatable
 from ..naming import Reports
 from ..rpc import Asked, Front
-from ..sockets import Tasks
+from ..sockets import MS, Tasks, rest
 from .configuration import Orders
 
 log = logging.getLogger(__name__)
 
-MS, SECOND = 1_000_000, 1_000_000_000
 MOMENT = 10 * MS
 GAUGES_WAIT = 30 * MS  # gauges later than this are of another moment
 UNWANTED_WAIT = 250 * MS
@@ -114,11 +113,12 @@
         if answer is Answer.WELL:
             self.link.give(id, reply)
         else:
-            log.info("event=call-failed id=%s answer=%s ms=%d", id, answer.value, (self.clock() - began) // MS)
+            took = (self.clock() - began) // MS
+            log.info("event=call-failed id=%s answer=%s ms=%d", id, answer.value, took)
         if answer is Answer.UNWANTED:
             # No run waits for it, so the end of the run is on its way, and cancels this. Told at once, the
             # decisions would call again and again, and soon take the catalogue for one that is down.
-            await asyncio.sleep(UNWANTED_WAIT / SECOND)
+            await rest(UNWANTED_WAIT)
         desk.report(CallEnded(id, CALL_OUTCOME[answer], self.clock() - began))
 
     def good(self) -> bool:
@@ -146,11 +146,13 @@
     async def beat(self, desk: Desk) -> None:
         due = desk.tick(Gauges())
         while True:
-            await asyncio.sleep(max(0, due - self.clock()) / SECOND)
+            await rest(due - self.clock())
             try:
                 values = await self.link.gauges(GAUGES_WAIT)
-                fresh = values is not None and len(values) == len(self.orders.meters)
-                due = desk.tick(gauges(self.orders.meters, values) if fresh and values else Gauges())
+                if values is None or len(values) != len(self.orders.meters):
+                    due = desk.tick(Gauges())
+                else:
+                    due = desk.tick(gauges(self.orders.meters, values))
                 self.reports.tell(self.good())
                 self.front.trim(desk.idle_for)
                 self.pool.sweep()
@@ -177,10 +179,10 @@
         """Serves on while newcomers may still be run; then asks the callers to go and waits for them."""
         if self.desk is not None:
             serve_until = min(now + self.orders.facts.grace, stop - 2 * LAST_WRITES)
-            await asyncio.sleep(max(0, serve_until - self.clock()) / SECOND)
+            await rest(serve_until - self.clock())
         self.front.leave()
         while self.front.connections and self.clock() < stop:
-            await asyncio.sleep(MOMENT / SECOND)
+            await rest(MOMENT)
         while (self.front.busy or self.serving) and self.clock() < stop + LAST_WRITES // 2:
-            await asyncio.sleep(MOMENT / SECOND)
+            await rest(MOMENT)
         self.over.set()
--- a/burlloom/server/configuration.py
+++ b/burlloom/server/configuration.py
@@ -7,6 +7,7 @@
 
 from ..facts import facts
 from ..interface import ServerFacts
+from ..sockets import MS
 
 Address = tuple[str, int]
 
@@ -53,7 +54,7 @@
             naming=address(got["naming"]),
             catalogue=address(got["catalog"]),
             seed=int(got["seed"], 16),
-            stop=int(got["stop_ms"]) * 1_000_000,
+            stop=int(got["stop_ms"]) * MS,
             facts=known,
             products=tuple(str(product["name"]) for product in got["settings"]["categories"]),
             meters=meters,
--- a/burlloom/sockets/buffer.py
+++ b/burlloom/sockets/buffer.py
@@ -20,6 +20,3 @@
             fresh[:left] = self.view[self.start:self.end]
             self.view, self.start, self.end = fresh, 0, left
         return self.view[self.end:]
-
-    def clear(self) -> None:
-        self.start = self.end = 0
--- a/burlloom/wirehost/__main__.py
+++ b/burlloom/wirehost/__main__.py
@@ -2,7 +2,8 @@
 
 import sys
 
-from .codec import MICRO, BadInput
+from ..facts import MICRO
+from .codec import BadInput
 from .host import Host
 
 
--- a/burlloom/wirehost/codec.py
+++ b/burlloom/wirehost/codec.py
@@ -3,7 +3,7 @@
 import json
 
 from .. import facts
-from ..facts import MICRO as MICRO
+from ..facts import MICRO
 from ..interface import Gauges, Outcome, ServerFacts
 
 OUTCOME = {"Ok": Outcome.OK, "Failed": Outcome.FAILED, "QueueFull": Outcome.FULL,
--- a/burlloom/wirehost/host.py
+++ b/burlloom/wirehost/host.py
@@ -3,9 +3,10 @@
 from typing import Any
 
 from ..choice import Choice
+from ..facts import MICRO
 from ..interface import ServerFacts, Txn
 from . import codec
-from .codec import MICRO, BadInput
+from .codec import BadInput
 
 
 class Instance:
--- a/examples/stand_ins.py
+++ b/examples/stand_ins.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import secrets
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -172,6 +174,12 @@
         self.reports.put_nowait(data.decode())
 
 
+def fields(**told: str) -> dict[str, str]:
+    """Those of a txn that comes just now."""
+    return {"id": secrets.token_hex(8), "at": str(time.time_ns() // 1_000_000), "from": "1", "cost": "12.50",
+            "kb": "24.5", "rank": "0.6250", **told}
+
+
 class Balancer:
     """One connection of a balancer; `ask` gives the whole answer: error, then result."""
 
@@ -208,10 +216,10 @@
             for waiting in self.waiting.values():
                 waiting.cancel()
 
-    def frame(self, product: str, fields: dict[str, str], body: bytes) -> bytes:
+    def frame(self, method: str, *params: Any) -> bytes:
         self.given += 1
         self.waiting[self.given] = asyncio.get_running_loop().create_future()
-        return bytes(msgpack.packb([0, self.given, product, [fields, body]]))
+        return bytes(msgpack.packb([0, self.given, method, params]))
 
     def ask(self, product: str, fields: dict[str, str],
             body: bytes = b"") -> "asyncio.Future[tuple[Any, Any]]":
@@ -219,9 +227,7 @@
         return self.waiting[self.given]
 
     def health(self) -> "asyncio.Future[tuple[Any, Any]]":
-        self.given += 1
-        self.waiting[self.given] = asyncio.get_running_loop().create_future()
-        self.writer.write(msgpack.packb([0, self.given, "health", [{}]]))
+        self.writer.write(self.frame("health", {}))
         return self.waiting[self.given]
 
     def reset(self) -> None:
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -11,10 +11,9 @@
 import json
 import secrets
 import sys
-import time
 from pathlib import Path
 
-from stand_ins import Balancer, Catalogue, Executor, NameService, Reply
+from stand_ins import Balancer, Catalogue, Executor, NameService, Reply, fields
 
 TOLD = json.loads((Path(__file__).parent / "configuration.json").read_text())
 
@@ -66,8 +65,7 @@
     once = secrets.token_hex(16)
     for turn in range(count + 1):
         last = turn >= count - 1  # and one repeat of it, which must not run again
-        told = {"id": secrets.token_hex(8), "at": str(time.time_ns() // 1_000_000), "from": "1",
-                "cost": "100", "kb": "24.5", "rank": "0.6250", **({"once": once} if last else {})}
+        told = fields(cost="100", **({"once": once} if last else {}))
         body = f"txn {min(turn, count - 1) + 1}".encode()
         error, result = await balancer.ask("pay" if last else "look", told, body)
         print(f"{told['id']} {body.decode()}: {error or result}")
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -5,10 +5,8 @@
 import json
 import os
 import re
-import secrets
 import signal
 import sys
-import time
 from pathlib import Path
 from typing import Any
 
@@ -32,11 +30,6 @@
             await asyncio.sleep(0.005)
 
 
-def fields(**told: str) -> dict[str, str]:
-    return {"id": secrets.token_hex(8), "at": str(time.time_ns() // 1_000_000), "from": "1", "cost": "12.50",
-            "kb": "24.5", "rank": "0.6250", **told}
-
-
 class Rig:
     def __init__(self, folder: Path, before: str = "", **changes: Any) -> None:
         self.folder, self.before = folder, before
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -12,8 +12,8 @@
 
 import msgpack
 import pytest
-from rig import GIVEN, ROOT, Rig, fields, soon, until
-from stand_ins import Catalogue
+from rig import GIVEN, ROOT, Rig, soon, until
+from stand_ins import Catalogue, fields
 
 
 def played(**changes: Any) -> Callable[[Callable[..., Awaitable[None]]], Callable[..., None]]:
