--- /dev/null
+++ b/burlloom/fleet/deal.py
@@ -0,0 +1,333 @@
+"""How the calls that the services below bear are shared out over the fleet. No I/O.
+
+One member deals, whoever has lived longest of those who are there. Each round every member reports to it
+what it holds and what it could use, and is granted a share for the length of a lease. Shares are
+thousandths of a call in hand. What keeps the sum within `total`, whatever the network does:
+
+- The dealer counts as bound, for each member, the larger of what its last report said that it holds and of
+  what was granted on it; a raise comes only out of what is not bound.
+- A holder takes a grant only on its newest report, so an older one that is late does nothing, and it reports
+  what it holds with the calls still in hand: a cut share is free once its calls are.
+- A member that was not heard is bound as before. What it is bound by is dealt anew once it left, was started
+  again, or was dead for `redeal`; by then it is at its floor by itself (`hold.py`), if it lives: a grant says
+  whether half of the fleet reports to the one that gave it, and without such a grant for `cut` it sinks.
+- Only a dealer to whom more than half of the fleet reports may raise. One that comes new to it first learns:
+  until all have reported, or for as long as an older dealer could still have raised and its grants hold.
+
+Source: Google's Doorman (2016) hands out leases of a capacity from an elected server with a learning mode;
+Breakwater (Cho and others, OSDI 2020) grants credits by demand. The split is max-min fair, by weight; whole calls go
+round in turns by error diffusion, so that each has its exact share over a few turns and the sum is exact in each.
+"""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple
+
+CALL = 1000  # thousandths
+HEADROOM = 1.25  # of what a member uses: more is free for its next peak
+MS = 1_000_000
+
+
+class Phase(IntEnum):
+    IDLE = 0  # another one deals
+    LEARNING = 1  # renews what is held, until all that may be held is known
+    DEALING = 2
+    BOUND = 3  # too few report: another may be dealing to the rest
+
+
+class Input(IntEnum):
+    ROUND = 0
+    GAP = 1  # our own process stood still
+
+
+TABLE = """
+IDLE     ROUND first        LEARNING begin
+IDLE     GAP   -            IDLE     -
+LEARNING ROUND not_first    IDLE     stop
+LEARNING ROUND few          BOUND    bind
+LEARNING ROUND learned      DEALING  deal
+LEARNING GAP   -            IDLE     stop
+DEALING  ROUND not_first    IDLE     stop
+DEALING  ROUND few          BOUND    bind
+DEALING  ROUND -            DEALING  deal
+DEALING  GAP   -            IDLE     stop
+BOUND    ROUND not_first    IDLE     stop
+BOUND    ROUND many         LEARNING begin
+BOUND    GAP   -            IDLE     stop
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """Of the whole fleet, the same on each member. `total`: calls in hand that the services below bear,
+    thousandths. `least`: the fleet is never thought smaller. Times in ns: `round` between reports;
+    `lease` of a grant; `turn` between two dealings; `cut` after which one that was granted nothing in the name of half of the
+    fleet falls to its floor; `redeal` after which what the dead held is dealt anew. `floor`: the part of
+    an equal share that is kept when cut off."""
+
+    total: int
+    least: int = 1
+    round: int = 200 * MS
+    lease: int = 2000 * MS
+    turn: int = 2000 * MS
+    cut: int = 8000 * MS
+    redeal: int = 14_000 * MS
+    floor: float = 0.04
+
+    def faults(self) -> list[str]:
+        found = []
+        if self.lease < 8 * self.round:
+            found.append(f"lease {self.lease // MS} ms is under eight rounds of {self.round // MS} ms: two lost letters"
+                         " would end it")
+        if self.redeal < self.cut + 2 * self.lease:
+            found.append(f"redeal {self.redeal // MS} ms is under cut and two leases, {(self.cut + 2 * self.lease) // MS} ms:"
+                         " one that is cut off would still use what is dealt anew")
+        return found
+
+    @property
+    def fresh(self) -> int:
+        """How long a report counts as one that still comes."""
+        return 8 * self.round
+
+    @property
+    def learns(self) -> int:
+        """As long as a dealer of whom we know nothing could still raise, and what it granted holds."""
+        return self.fresh + 2 * self.lease
+
+    def equal(self, members: int) -> int:
+        return self.total // max(members, self.least)
+
+    def lowest(self, members: int) -> int:
+        return int(self.floor * self.equal(members))
+
+
+class Told(NamedTuple):
+    """A report, thousandths of a call: `held` is the share in force, or what is in hand where that is more;
+    `want` is what could be used."""
+
+    held: int
+    share: int
+    want: int
+    weight: int
+
+
+@dataclass(slots=True)
+class Account:
+    """What the dealer knows of one life of a member. `bound`: the most that it may hold."""
+
+    life: int
+    number: int
+    at: int
+    told: Told
+    bound: int
+    target: int = 0
+    carry: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Present:
+    """A member as the view has it: `there` or dead since then. Those who left are not among them."""
+
+    life: int
+    there: bool
+    since: int
+
+
+class Dealer:
+    """`round` once a round with the view; `report` for each that comes, which gives the grant."""
+
+    def __init__(self, terms: Terms, now: int) -> None:
+        self.terms = terms
+        self.phase = Phase.IDLE
+        self.since = self.turned = now
+        self.accounts: dict[str, Account] = {}
+        self.fleet: Mapping[str, Present] = {}
+        self.is_first = False
+        self.turns = 0
+
+    # What the member calls.
+
+    def round(self, now: int, fleet: Mapping[str, Present], first: bool, gap: bool = False) -> None:
+        """`fleet`: all that may hold something, by name. `gap`: nothing was done here for long."""
+        self.fleet, self.is_first = fleet, first
+        for name, account in list(self.accounts.items()):
+            if name not in fleet or fleet[name].life > account.life or self.lost(now, fleet[name]):
+                del self.accounts[name]
+        self.meet(now, Input.GAP if gap else Input.ROUND)
+
+    def report(self, now: int, name: str, life: int, number: int, told: "Told") -> int | None:
+        """The grant, thousandths; None: we don't deal, or it is of no use any more."""
+        present, account = self.fleet.get(name), self.accounts.get(name)
+        if self.phase is Phase.IDLE or present is None or life < present.life:
+            return None
+        if account is None or account.life < life:
+            account = self.accounts[name] = Account(life, number, now, told, told.held)
+        elif account.life > life or number <= account.number:
+            return None  # played again, or overtaken
+        else:
+            account.number, account.at, account.told, account.bound = number, now, told, told.held
+        grant = self.grant(now, account)
+        account.bound = max(told.held, grant)
+        return grant
+
+    # Within.
+
+    def grant(self, now: int, account: Account) -> int:
+        share, held = account.told.share, account.told.held
+        if self.phase is Phase.BOUND:
+            return min(share, self.terms.equal(len(self.fleet)))
+        if self.phase is Phase.LEARNING or account.target <= share:
+            return min(share, account.target) if self.phase is Phase.DEALING else share
+        return max(share, whole(min(account.target, held + max(0, self.free(now)))))
+
+    def free(self, now: int) -> int:
+        """What is not bound by anyone. A member of whom nothing is known yet is bound by an equal share."""
+        equal = self.terms.equal(len(self.fleet))
+        # Those who have not reported since we began to learn may have been raised by another.
+        bound = sum(account.bound if account.at >= self.since else max(account.bound, equal)
+                    for account in self.accounts.values())
+        unknown = sum(name not in self.accounts and not self.lost(now, present) for name, present in self.fleet.items())
+        return self.terms.total - bound - unknown * equal
+
+    def lost(self, now: int, present: Present) -> bool:
+        """Dead for so long that it is at its floor by itself. Told only where most of the fleet reports."""
+        return (not present.there and now - present.since >= self.terms.redeal and self.phase is Phase.DEALING)
+
+    def sure(self, now: int) -> bool:
+        """Whether a grant is in the name of half of the fleet: then no other part of it can deal it anew."""
+        return 2 * self.reporting(now) >= self.size()
+
+    def size(self) -> int:
+        return max(len(self.fleet), self.terms.least)
+
+    def reporting(self, now: int) -> int:
+        return sum(now - account.at <= self.terms.fresh for account in self.accounts.values())
+
+    def meet(self, now: int, what: Input) -> None:
+        for test, phase, effect in RULES.get((self.phase, what), ()):
+            if test(self, now):
+                self.phase = phase
+                effect(self, now)
+                return
+
+    # Tests.
+
+    def first(self, now: int) -> bool:
+        return self.is_first
+
+    def not_first(self, now: int) -> bool:
+        return not self.is_first
+
+    def many(self, now: int) -> bool:
+        return 2 * self.reporting(now) > self.size()
+
+    def few(self, now: int) -> bool:
+        """Those that come to a new dealer need a moment."""
+        return not self.many(now) and now - self.since > self.terms.fresh
+
+    def learned(self, now: int) -> bool:
+        if not self.many(now):
+            return False
+        known = [name for name, account in self.accounts.items() if account.at >= self.since and name in self.fleet]
+        return len(known) >= self.size() and now - self.since >= self.terms.fresh or now - self.since >= self.terms.learns
+
+    # Effects.
+
+    def begin(self, now: int) -> None:
+        self.since = now
+        self.turned = now - self.terms.turn
+
+    def stop(self, now: int) -> None:
+        pass  # what is known of reports so far keeps old ones from being played again
+
+    def bind(self, now: int) -> None:
+        self.since = now
+
+    def deal(self, now: int) -> None:
+        """New targets once a turn, for those who report; what the others are bound by is not there to be
+        dealt."""
+        if now - self.turned < self.terms.turn:
+            return
+        self.turned = now
+        self.turns += 1
+        names = sorted(name for name, account in self.accounts.items() if now - account.at <= self.terms.lease)
+        kept = sum(account.bound for name, account in self.accounts.items() if now - account.at > self.terms.lease)
+        unknown = sum(name not in self.accounts and not self.lost(now, one) for name, one in self.fleet.items())
+        total = max(0, self.terms.total - kept - unknown * self.terms.equal(len(self.fleet)))
+        accounts = [self.accounts[name] for name in names]
+        ideal = fair(total, [account.told.want for account in accounts],
+                     [account.told.weight for account in accounts])
+        for account, target in zip(accounts, turns(total, ideal, accounts), strict=True):
+            account.target = target
+
+
+def whole(share: int) -> int:
+    """Past one call, whole calls."""
+    return share if share < CALL else share - share % CALL
+
+
+def fair(total: int, wants: Sequence[int], weights: Sequence[int]) -> list[float]:
+    """Max-min fair by weight: nobody has less than it wants while another has more by weight; what nobody
+    wants is spread by weight on top, so that the sum is `total`."""
+    given = [0.0] * len(wants)
+    left, open = float(total), [at for at, weight in enumerate(weights) if weight > 0]
+    every = sum(weights)
+    while open and left > 1e-6:
+        per = left / sum(weights[at] for at in open)
+        full = [at for at in open if HEADROOM * wants[at] <= weights[at] * per]
+        if not full:
+            for at in open:
+                given[at] = weights[at] * per
+            return given
+        for at in full:
+            given[at] = HEADROOM * wants[at]
+            left -= given[at]
+        open = [at for at in open if at not in set(full)]
+    return [share + left * weight / every if every else share for share, weight in zip(given, weights, strict=True)]
+
+
+def turns(total: int, ideal: Sequence[float], accounts: Sequence[Account]) -> list[int]:
+    """Whole calls where a share is one or more: what is cut off a share is carried to the next turn, and the
+    units left over go to those that are owed most. Thousandths; the sum is at most `total`."""
+    given = []
+    for share, account in zip(ideal, accounts, strict=True):
+        if share < CALL:
+            account.carry = 0.0
+            given.append(int(share))
+        else:
+            owed = share + account.carry
+            given.append(max(0, int(owed // CALL) * CALL))
+            account.carry = owed - given[-1]
+    left = (total - sum(given)) // CALL
+    large = [at for at, share in enumerate(ideal) if share >= CALL]
+    for at in sorted(large, key=lambda at: -accounts[at].carry)[:max(0, left)]:
+        given[at] += CALL
+        accounts[at].carry -= CALL
+    # Carries may ask for more than there is: the least owed give back.
+    over = sum(given) - total
+    for at in sorted(large, key=lambda at: accounts[at].carry):
+        if over <= 0:
+            break
+        if given[at] >= CALL:
+            given[at] -= CALL
+            accounts[at].carry += CALL
+            over -= CALL
+    return given
+
+
+Test = Callable[[Dealer, int], bool]
+Effect = Callable[[Dealer, int], None]
+Rules = dict[tuple[Phase, Input], list[tuple[Test, Phase, Effect]]]
+
+
+def rules(table: str) -> Rules:
+    found: Rules = {}
+    for phase, what, test, after, effect in filter(None, map(str.split, table.split("\n"))):
+        passes: Test = (lambda dealer, now: True) if test == "-" else getattr(Dealer, test)
+        does: Effect = (lambda dealer, now: None) if effect == "-" else getattr(Dealer, effect)
+        found.setdefault((Phase[phase], Input[what]), []).append((passes, Phase[after], does))
+    return found
+
+
+RULES = rules(TABLE)
--- /dev/null
+++ b/burlloom/fleet/fleet.py
@@ -0,0 +1,391 @@
+"""One member of the fleet, whole: who else is there, the share of the calls below, what is sent to whom. No I/O.
+
+A host gives it a clock's time, what datagrams come (`hear`) and what is in use (`uses`), calls `tick` several times
+a round, and sends what lies in `out`. Times are ns of a clock that never steps back; lives are Unix ms.
+"""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from random import Random
+
+from .deal import CALL, MS, Dealer, Present, Terms, Told
+from .hold import Holder
+from .hold import State as Held
+from .letters import Kind, Letter, Unreadable, seal, unseal
+from .members import Input, Members, Moved, State, Word, due
+
+NEWS_MOST, PAGE_WORDS = 6, 12  # words of others on a letter; on a page of a view
+MEMBERS_MOST = 1000  # that a view holds; a fleet is some hundreds
+RESEND = 3  # rounds that a report's grant is waited for
+GAP_ROUNDS = 5  # without a tick: our own process stood still
+OUT_MOST = 4096  # letters that wait for the host
+
+
+@dataclass(frozen=True, slots=True)
+class Habits:
+    """Of the membership, ns. `probe`: between probes of one member after the other; `ack`: until others are
+    asked to ask it; `suspicion`: for refuting; `forget`: until one that is over leaves the view, and only
+    where most are there; `others`: how many are asked. `revive`: each so many probes one goes to a dead
+    member, or to an address that we were given, so that a cut that heals is noticed."""
+
+    probe: int = 500 * MS
+    ack: int = 200 * MS
+    suspicion: int = 2000 * MS
+    forget: int = 3_600_000 * MS
+    others: int = 3
+    revive: int = 4
+
+    def faults(self) -> list[str]:
+        if self.ack >= self.probe:
+            return [f"ack {self.ack // MS} ms is not under probe, {self.probe // MS} ms"]
+        return []
+
+
+@dataclass(slots=True)
+class Probe:
+    name: str
+    number: int
+    at: int
+    asked: bool = False
+
+
+@dataclass(slots=True)
+class Errand:
+    """We ask one member for another, and owe that an ACK of its own number."""
+
+    address: str
+    number: int
+    at: int
+
+
+@dataclass(slots=True)
+class Counts:
+    """For whoever reads metrics."""
+
+    sent: int = 0
+    heard: int = 0
+    unreadable: int = 0
+    dropped: int = 0
+    suspected: int = 0
+    buried: int = 0
+    refuted: int = 0
+    dealers: int = 0
+    grants: int = 0
+    lapses: int = 0
+
+
+class Fleet:
+    def __init__(self, own: Word, seeds: tuple[str, ...], keys: tuple[bytes, ...], terms: Terms, habits: Habits,
+                 chance: Random, now: int) -> None:
+        """`seeds`: addresses where others may be, our own may be among them. The first key seals."""
+        self.terms, self.habits, self.chance, self.keys = terms, habits, chance, keys
+        self.seeds = tuple(seed for seed in seeds if seed != own.address)
+        self.members = Members(own, now)
+        self.dealer, self.holder = Dealer(terms, now), Holder(terms, now)
+        self.out: deque[tuple[str, bytes]] = deque()
+        self.counts = Counts()
+        self.moves: list[Moved] = []  # until the host takes them
+        self.news: dict[str, int] = {}  # names, each with how often it was passed on
+        self.number = 0
+        self.queue: list[str] = []  # of names that are still to be probed in this round of all
+        self.probe: Probe | None = None
+        self.errands: dict[int, Errand] = {}
+        self.probed = self.rounded = self.synced = now - 3600 * 1000 * MS
+        self.probes = 0
+        self.last = now
+        self.wants = self.in_hand = 0
+        self.weight = 1000
+        self.dealt_by = ""
+        self.switched = now - 3600 * 1000 * MS
+        self.report_number, self.report_at, self.asked_of = -1, now, ""
+        self.strangers = 0  # members whose terms are not ours
+
+    @property
+    def own(self) -> Word:
+        return self.members.own
+
+    @property
+    def share(self) -> int:
+        """Thousandths of a call that may be in hand below."""
+        return self.holder.share
+
+    def good(self, now: int) -> bool:
+        """Whether the share is one that we may still act on: else `tick` comes first. Guards against a process
+        that was paused and wakes with what was dealt to others meanwhile."""
+        return now - self.last <= self.terms.lease
+
+    def uses(self, wants: int, in_hand: int) -> None:
+        """Thousandths of a call: what could be used now, and what is."""
+        self.wants, self.in_hand = wants, in_hand
+
+    # Once in a while.
+
+    def tick(self, now: int) -> None:
+        gap = now - self.last
+        paused = gap > GAP_ROUNDS * self.terms.round
+        if paused:
+            self.awoken(now, gap)
+        self.last = now
+        for name, what in due(list(self.members), now, self.suspicion(), self.habits.forget):
+            # Who hears few does not forget: the majority may be on the other side.
+            if what is not Input.OLD or self.mostly_there():
+                self.members.meet(now, name, what)
+        self.probing(now)
+        self.errands = {number: errand for number, errand in self.errands.items() if now - errand.at < self.habits.probe}
+        if now - self.rounded >= self.terms.round or paused:
+            self.rounded = now
+            self.round(now, gap)
+        self.settle()
+
+    def awoken(self, now: int, gap: int) -> None:
+        """What we did not hear meanwhile says nothing of the others."""
+        self.probe = None
+        self.errands.clear()
+        for member in self.members:
+            if member.state is State.SUSPECT:
+                member.since += gap
+
+    def suspicion(self) -> int:
+        """Longer in a large fleet: a refutation has a longer way."""
+        return self.habits.suspicion + self.habits.probe * len(self.members.by_name).bit_length() // 4
+
+    def mostly_there(self) -> bool:
+        return 2 * len(self.members.there()) > max(self.members.counted(), self.terms.least)
+
+    def settle(self) -> None:
+        """Passes on what moved, and keeps it for the host."""
+        for move in self.members.moves:
+            if move.after is not None:
+                self.news[move.after.name] = 0
+                self.counts.suspected += move.after.state is State.SUSPECT
+                self.counts.buried += move.after.state is State.DEAD
+            elif move.before is not None:
+                self.news.pop(move.before.name, None)
+        self.moves = (self.moves + self.members.moves)[-MEMBERS_MOST:]
+        self.members.moves = []
+
+    # The share.
+
+    def round(self, now: int, gap: int) -> None:
+        members, holder = self.members, self.holder
+        present = {member.word.name: Present(member.word.life, member.there, member.since)
+                   for member in members if member.state is not State.LEFT}
+        before = holder.state
+        holder.round(now, len(present), gap > self.terms.cut)
+        self.counts.lapses += before is Held.HOLDING and holder.state is not Held.HOLDING
+        first = members.first()
+        self.dealer.round(now, present, first.name == self.own.name, gap > self.terms.lease)
+        if first.name != self.dealt_by:
+            if self.dealt_by:
+                self.switched = now
+            self.dealt_by = first.name
+            self.counts.dealers += 1
+        if self.report_number >= 0 and now - self.report_at < RESEND * self.terms.round and first.name == self.asked_of:
+            return  # its grant may still be on its way, and holds only on the newest report
+        self.number += 1
+        self.report_number, self.report_at, self.asked_of = self.number, now, first.name
+        told = Told(max(holder.share, self.in_hand), holder.share, self.wants, self.weight)
+        if first.name == self.own.name:
+            grant = self.dealer.report(now, self.own.name, self.own.life, self.number, told)
+            if grant is not None:
+                self.granted(now, grant, self.dealer.sure(now))
+        else:
+            self.send(first.address, Kind.REPORT, self.number, tuple(told))
+
+    def granted(self, now: int, share: int, sure: bool) -> None:
+        self.report_number = -1
+        if now - self.switched < self.terms.fresh:
+            # The one that dealt before may still count us among those who report to it, and raise others.
+            share = min(share, self.holder.share)
+        self.counts.grants += 1
+        self.holder.grant(now, share, self.report_at, sure)
+
+    # Probing.
+
+    def probing(self, now: int) -> None:
+        probe, habits = self.probe, self.habits
+        if probe is not None and not probe.asked and now - probe.at >= habits.ack:
+            probe.asked = True
+            others = [member.word for member in self.members.there()
+                      if member.word.name not in (probe.name, self.own.name)]
+            for other in self.chance.sample(others, min(habits.others, len(others))):
+                self.send(other.address, Kind.ASK, probe.number, name=probe.name)
+        if now - self.probed < habits.probe:
+            return
+        if probe is not None:
+            self.members.meet(now, probe.name, Input.SILENT)
+            self.probe = None
+        self.probed = now
+        self.probes += 1
+        if self.probes % habits.revive == 1 % habits.revive or len(self.members.there()) == 1:
+            self.knock()
+        name = self.next_name()
+        if name is not None:
+            self.number += 1
+            self.probe = Probe(name, self.number, now)
+            self.ping(self.members.by_name[name].word, self.number)
+
+    def next_name(self) -> str | None:
+        """All that are there, one after the other in an order drawn anew each time: none waits for long."""
+        for _ in range(2):
+            while self.queue:
+                name = self.queue.pop()
+                member = self.members.by_name.get(name)
+                if member is not None and member.there and name != self.own.name:
+                    return name
+            self.queue = sorted(member.word.name for member in self.members.there())
+            self.chance.shuffle(self.queue)
+        return None
+
+    def ping(self, word: Word, number: int) -> None:
+        self.send(word.address, Kind.PING, number, self.views(), about=word.name)
+
+    def views(self) -> tuple[int, int]:
+        return self.members.digest >> 1, self.terms_digest()
+
+    def terms_digest(self) -> int:
+        return self.terms.total * 1009 + self.terms.lease // MS * 31 + self.terms.redeal // MS + self.terms.cut // MS * 7
+
+    def knock(self) -> None:
+        """At the door of one that is dead, or of an address where nobody is known."""
+        known = {member.word.address for member in self.members.there()}
+        dead = [member.word.address for member in self.members if member.state is State.DEAD]
+        doors = [address for address in (*self.seeds, *dead) if address not in known]
+        if doors:
+            self.number += 1
+            self.send(self.chance.choice(doors), Kind.PING, self.number, self.views())
+
+    # What comes.
+
+    def hear(self, now: int, data: bytes) -> None:
+        try:
+            letter = unseal(data, self.keys)
+        except Unreadable:
+            self.counts.unreadable += 1
+            return
+        self.counts.heard += 1
+        sender = letter.sender
+        if sender.name == self.own.name and sender.life == self.own.life:
+            return  # our own, led back to us
+        own = self.own
+        for word in (sender, *letter.words):
+            if word.name in self.members.by_name or len(self.members.by_name) < MEMBERS_MOST:
+                self.members.said(now, word)
+        self.counts.refuted += self.own is not own
+        HEARD[letter.kind](self, now, letter)
+        self.settle()
+
+    def pinged(self, now: int, letter: Letter) -> None:
+        self.send(letter.sender.address, Kind.ACK, letter.number, self.views(), about=letter.sender.name)
+        self.compare(now, letter)
+
+    def acked(self, now: int, letter: Letter) -> None:
+        if self.probe is not None and letter.number == self.probe.number:
+            self.probe = None
+        errand = self.errands.pop(letter.number, None)
+        if errand is not None:
+            self.send(errand.address, Kind.ACK, errand.number, self.views())
+        self.compare(now, letter)
+
+    def asked(self, now: int, letter: Letter) -> None:
+        member = self.members.by_name.get(letter.name)
+        if member is not None and len(self.errands) < MEMBERS_MOST:
+            self.number += 1
+            self.errands[self.number] = Errand(letter.sender.address, letter.number, now)
+            self.ping(member.word, self.number)
+
+    def compare(self, now: int, letter: Letter) -> None:
+        """Where its view is not ours, asks for it; it does the same on our next letter."""
+        if len(letter.numbers) != 2:
+            return
+        self.strangers += letter.numbers[1] != self.terms_digest()
+        if letter.numbers[0] != self.members.digest >> 1 and now - self.synced >= self.habits.probe:
+            self.synced = now
+            self.send(letter.sender.address, Kind.SYNC, letter.number)
+
+    def synced_by(self, now: int, letter: Letter) -> None:
+        """Those who are over are told of for half the time that they are kept: else views would hand them
+        back and forth for ever."""
+        names = sorted(member.word.name for member in self.members if member.word.name > letter.name
+                       and (member.there or now - member.since < self.habits.forget // 2))
+        page = tuple(self.members.by_name[name].word for name in names[:PAGE_WORDS])
+        more = names[PAGE_WORDS - 1] if len(names) > PAGE_WORDS else ""
+        self.post(letter.sender.address, Letter(Kind.PAGE, self.own, letter.number, (), more, page))
+
+    def paged(self, now: int, letter: Letter) -> None:
+        if letter.name and len(letter.words) == PAGE_WORDS:
+            self.send(letter.sender.address, Kind.SYNC, letter.number, name=letter.name)
+
+    def reported_to(self, now: int, letter: Letter) -> None:
+        if len(letter.numbers) != 4:
+            return
+        sender = letter.sender
+        grant = self.dealer.report(now, sender.name, sender.life, letter.number, Told(*letter.numbers))
+        if grant is not None:
+            self.send(sender.address, Kind.GRANT, letter.number, (grant, int(self.dealer.sure(now))), about=sender.name)
+
+    def grant_came(self, now: int, letter: Letter) -> None:
+        if (letter.sender.name == self.dealt_by and letter.number == self.report_number and len(letter.numbers) == 2):
+            self.granted(now, letter.numbers[0], letter.numbers[1] == 1)
+
+    def said_bye(self, now: int, letter: Letter) -> None:
+        pass  # its own word, which goes with each letter, has said it
+
+    # What goes.
+
+    def leave(self, now: int) -> None:
+        """Our last word, to all in a small fleet and to some in a large one, which pass it on."""
+        self.members.leave(now)
+        words = [member.word for member in self.members.there()]
+        first = self.members.first()
+        for word in {first, *self.chance.sample(words, min(50, len(words)))}:
+            self.send(word.address, Kind.BYE, 0)
+
+    def send(self, address: str, kind: Kind, number: int, numbers: tuple[int, ...] = (), name: str = "",
+             about: str = "") -> None:
+        """`about`: whom we send it to. What we think of it goes first, so that it may refute that."""
+        words = [self.members.by_name[about].word] if about in self.members.by_name and not (
+            self.members.by_name[about].state is State.ALIVE) else []
+        self.post(address, Letter(kind, self.own, number, numbers, name, tuple(words + self.gossip(about))))
+
+    def gossip(self, about: str) -> list[Word]:
+        """What was passed on least often so far; each of our news some times the logarithm of the fleet."""
+        most = 3 * len(self.members.by_name).bit_length()
+        found = []
+        for name in sorted(self.news, key=self.news.__getitem__)[:NEWS_MOST]:
+            self.news[name] += 1
+            member = self.members.by_name.get(name)
+            if member is not None and name != about:
+                found.append(member.word)
+            if self.news[name] >= most:
+                del self.news[name]
+        return found
+
+    def post(self, address: str, letter: Letter) -> None:
+        if len(self.out) >= OUT_MOST:
+            self.counts.dropped += 1
+            return
+        self.counts.sent += 1
+        self.out.append((address, seal(letter, self.keys[0])))
+
+
+HEARD = {Kind.PING: Fleet.pinged, Kind.ACK: Fleet.acked, Kind.ASK: Fleet.asked, Kind.SYNC: Fleet.synced_by,
+         Kind.PAGE: Fleet.paged, Kind.REPORT: Fleet.reported_to, Kind.GRANT: Fleet.grant_came,
+         Kind.BYE: Fleet.said_bye}
+
+
+def summary(fleet: Fleet, now: int) -> Mapping[str, object]:
+    """For an operator's eyes; plain values."""
+    members, dealer = fleet.members, fleet.dealer
+    return {
+        "name": fleet.own.name, "life": fleet.own.life, "incarnation": fleet.own.incarnation,
+        "share": fleet.share / CALL, "state": fleet.holder.state.name.lower(), "dealt_by": fleet.dealt_by,
+        "deals": dealer.phase.name.lower(), "total": fleet.terms.total / CALL, "strangers": fleet.strangers,
+        "members": [{"name": member.word.name, "address": member.word.address, "life": member.word.life,
+                     "incarnation": member.word.incarnation, "state": member.state.name.lower(),
+                     "since_ms": (now - member.since) // MS,
+                     **({"bound": dealer.accounts[member.word.name].bound / CALL}
+                        if member.word.name in dealer.accounts else {})}
+                    for member in sorted(members, key=lambda member: member.word.name)],
+        "counts": {name: getattr(fleet.counts, name) for name in fleet.counts.__slots__}}
--- /dev/null
+++ b/burlloom/fleet/letters.py
@@ -0,0 +1,110 @@
+"""What members send to each other: one datagram each, sealed with the fleet's key. No I/O.
+
+A letter is 16 bytes of a keyed BLAKE2b (RFC 7693) over the rest, then MessagePack: version, kind, the
+sender's own word, a number, up to four whole numbers, a name, words of others. What is not exactly that is
+refused. A letter that is played again says nothing new: words are ordered by themselves, answers carry the
+number that was asked with, reports count up.
+"""
+
+import hashlib
+import hmac
+from enum import IntEnum
+from typing import Any, NamedTuple
+
+import msgpack
+
+from .members import State, Word
+
+VERSION = 1
+TAG = 16
+LETTER_MOST = 1400  # bytes; fits a frame of Ethernet
+WORDS_MOST, NUMBERS_MOST, NAME_MOST = 12, 4, 64
+NUMBER_MOST = (1 << 63) - 1
+KEY_LEAST = 16
+
+
+class Kind(IntEnum):
+    PING = 0  # are you there; numbers: our view's digest
+    ACK = 1  # we are, to the PING of that number; the same
+    ASK = 2  # ping the one that is named, and pass on its ACK
+    SYNC = 3  # send a page of your view, from after that name
+    PAGE = 4  # words of it, and the name to go on from; empty: that was all
+    REPORT = 5  # to who deals: held and wanted, in thousandths of a call; weight
+    GRANT = 6  # to the REPORT of that number: the share, and 1 where half of the fleet reports to us
+    BYE = 7  # our own word says that we left
+
+
+class Letter(NamedTuple):
+    kind: Kind
+    sender: Word
+    number: int
+    numbers: tuple[int, ...] = ()
+    name: str = ""
+    words: tuple[Word, ...] = ()
+
+
+class Unreadable(Exception):
+    """A datagram that no member with our key would send; says why."""
+
+
+def tag(key: bytes, text: bytes) -> bytes:
+    return hashlib.blake2b(text, key=key, digest_size=TAG).digest()
+
+
+def seal(letter: Letter, key: bytes) -> bytes:
+    sender, words = [*letter.sender], [[*word] for word in letter.words]
+    text: bytes = msgpack.packb([VERSION, int(letter.kind), sender, letter.number, letter.numbers, letter.name, words])
+    return tag(key, text) + text
+
+
+def unseal(data: bytes, keys: tuple[bytes, ...]) -> Letter:
+    """Any of the keys will do, so that keys can be changed while the fleet runs. Raises `Unreadable`."""
+    if not TAG < len(data) <= LETTER_MOST:
+        raise Unreadable(f"of {len(data)} bytes")
+    mark, text = data[:TAG], data[TAG:]
+    if not any(hmac.compare_digest(mark, tag(key, text)) for key in keys):
+        raise Unreadable("not sealed with our key")
+    try:
+        got = msgpack.unpackb(text, max_array_len=16, max_map_len=0, max_ext_len=0, max_str_len=NAME_MOST)
+    except (ValueError, msgpack.UnpackException, RecursionError) as error:
+        raise Unreadable(f"no MessagePack: {error}") from error
+    return letter_of(got)
+
+
+def letter_of(got: Any) -> Letter:
+    if type(got) is not list or len(got) != 7 or got[0] != VERSION:
+        raise Unreadable("of another version")
+    _, kind, sender, number, numbers, name, words = got
+    if type(kind) is not int or not 0 <= kind < len(Kind):
+        raise Unreadable(f"of no kind: {kind!r}")
+    if not whole(number) or type(numbers) is not list or len(numbers) > NUMBERS_MOST or not all(map(whole, numbers)):
+        raise Unreadable("numbers that are none")
+    if type(name) is not str or type(words) is not list or len(words) > WORDS_MOST:
+        raise Unreadable("names or words that are none")
+    return Letter(Kind(kind), word_of(sender), number, tuple(numbers), name, tuple(map(word_of, words)))
+
+
+def whole(got: Any) -> bool:
+    return type(got) is int and 0 <= got <= NUMBER_MOST
+
+
+def word_of(got: Any) -> Word:
+    if type(got) is not list or len(got) != 5:
+        raise Unreadable("a word that is none")
+    name, address, life, incarnation, state = got
+    if (type(name) is not str or not name or type(address) is not str or not whole(life) or not whole(incarnation)
+            or type(state) is not int or not State.ALIVE <= state <= State.LEFT):
+        raise Unreadable("a word that is none")
+    if address_of(address) is None:
+        raise Unreadable(f"no address: {address!r:.80}")
+    return Word(name, address, life, incarnation, State(state))
+
+
+def address_of(text: str) -> tuple[str, int] | None:
+    """Host, an IPv4 address, and port; None where it is none."""
+    host, _, port = text.rpartition(":")
+    parts = host.split(".")
+    if (len(parts) != 4 or not all(part.isascii() and part.isdigit() and int(part) < 256 for part in parts)
+            or not (port.isascii() and port.isdigit() and 0 < int(port) < 65536)):
+        return None
+    return host, int(port)
--- /dev/null
+++ b/burlloom/lab/fleets.py
@@ -0,0 +1,177 @@
+"""A network between members in simulated time, and swarms of members without servers for what needs no more.
+
+The network delays, loses, doubles and cuts; a member can be killed, paused and started again.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from numpy.random import default_rng
+
+from ..fleet import CALL, Fleet, Habits, State, Terms, Word
+from .clock import EPOCH, SECOND, SimulatedLoop
+
+TICK = 0.1  # s, as the server's beat
+PATIENCE = 6.0  # s, for which the calls of one that was paused stay in hand below
+KEY = b"the lab's own key"
+
+
+class Net:
+    """Datagrams between addresses. `cuts`: pairs of sides that do not hear each other, each a set of
+    addresses; one-way where only the first does not reach the second."""
+
+    def __init__(self, loop: SimulatedLoop, seed: int, delay: tuple[float, float] = (0.0003, 0.0013),
+                 loss: float = 0.0, doubles: float = 0.0) -> None:
+        self.loop, self.chance = loop, default_rng(seed)
+        self.delay, self.loss, self.doubles = delay, loss, doubles
+        self.places: dict[str, Callable[[bytes], None]] = {}
+        self.cuts: list[tuple[frozenset[str], frozenset[str], bool]] = []
+        self.sent = self.bytes = 0
+
+    def cut(self, one: Sequence[str], other: Sequence[str], both: bool = True) -> None:
+        self.cuts.append((frozenset(one), frozenset(other), both))
+
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    def parted(self, source: str, target: str) -> bool:
+        return any(source in one and target in other or both and source in other and target in one
+                   for one, other, both in self.cuts)
+
+    def send(self, source: str, target: str, data: bytes) -> None:
+        self.sent += 1
+        self.bytes += len(data)
+        for _ in range(1 + (self.doubles > 0 and self.chance.random() < self.doubles)):
+            if self.parted(source, target) or self.loss and self.chance.random() < self.loss:
+                continue
+            low, high = self.delay
+            self.loop.call_later(low + (high - low) * float(self.chance.random()), self.arrive, target, data)
+
+    def arrive(self, target: str, data: bytes) -> None:
+        place = self.places.get(target)
+        if place is not None:
+            place(data)
+
+
+@dataclass
+class Body:
+    """A process of the swarm: its member, if it is up, and what it would like to call."""
+
+    name: str
+    address: str
+    fleet: Fleet | None = None
+    demand: float = 0.0  # calls in hand, if it could
+    paused_at: float = -1.0  # s; below 0: it is not
+    stuck: list[bytes] = field(default_factory=list)  # what came while it was paused
+    seed: int = 0
+    lives: int = 0
+
+    @property
+    def using(self) -> float:
+        """Calls in hand: as many as it may, or would."""
+        return min(self.demand, self.fleet.share / CALL) if self.fleet is not None else 0.0
+
+
+class Swarm:
+    """Members by name; `sample` is called once a tick of theirs."""
+
+    def __init__(self, loop: SimulatedLoop, net: Net, terms: Terms, habits: Habits | None = None, seed: int = 1) -> None:
+        self.loop, self.net, self.terms, self.habits, self.seed = loop, net, terms, habits or Habits(), seed
+        self.bodies: dict[str, Body] = {}
+        self.seeds: tuple[str, ...] = ()
+        self.sample: Callable[[], None] = lambda: None
+
+    def now(self) -> int:
+        return self.loop.wall()
+
+    def add(self, count: int, demand: float) -> list[Body]:
+        made = []
+        for _ in range(count):
+            at = len(self.bodies)
+            body = Body(f"n{at}", f"10.1.{at // 200}.{at % 200 + 1}:7946", demand=demand, seed=self.seed * 1009 + at)
+            self.bodies[body.name] = body
+            made.append(body)
+        self.seeds = self.seeds or tuple(body.address for body in made[:3])
+        for body in made:
+            self.start(body)
+        return made
+
+    def start(self, body: Body) -> None:
+        body.lives += 1
+        now, life = self.now(), (EPOCH + int(self.loop.now * SECOND)) // 1_000_000 + body.lives
+        chance = Random(body.seed * 7 + body.lives)
+        body.fleet = Fleet(Word(body.name, body.address, life, 0, State.ALIVE), self.seeds, (KEY,), self.terms, self.habits,
+                           chance, now)
+        body.paused_at, body.stuck = -1.0, []
+        self.net.places[body.address] = lambda data: self.hear(body, data)
+        self.loop.call_later(TICK * chance.random(), self.tick, body, body.fleet)
+
+    def kill(self, body: Body) -> None:
+        body.fleet = None
+        self.net.places.pop(body.address, None)
+
+    def leave(self, body: Body) -> None:
+        if body.fleet is not None:
+            body.fleet.leave(self.now())
+            self.flush(body)
+            self.kill(body)
+
+    def pause(self, body: Body) -> None:
+        body.paused_at = self.loop.now
+
+    def wake(self, body: Body) -> None:
+        body.paused_at = -1.0
+        for data in body.stuck:
+            self.hear(body, data)
+        body.stuck = []
+
+    def hear(self, body: Body, data: bytes) -> None:
+        if body.paused_at >= 0:
+            if len(body.stuck) < 200:
+                body.stuck.append(data)
+        elif body.fleet is not None:
+            body.fleet.hear(self.now(), data)
+            self.flush(body)
+
+    def tick(self, body: Body, fleet: Fleet) -> None:
+        if body.fleet is not fleet:
+            return
+        if body.paused_at < 0:
+            # One that may not call enough has the rest waiting.
+            fleet.uses(int(body.demand * CALL), int(body.using * CALL))
+            fleet.tick(self.now())
+            self.flush(body)
+        self.loop.call_later(TICK, self.tick, body, fleet)
+
+    def flush(self, body: Body) -> None:
+        while body.fleet is not None and body.fleet.out:
+            self.net.send(body.address, *body.fleet.out.popleft())
+
+    # What is seen from outside.
+
+    def up(self) -> list[Body]:
+        return [body for body in self.bodies.values() if body.fleet is not None]
+
+    def total(self) -> float:
+        """Calls in hand below, of all."""
+        return sum(body.using for body in self.up() if self.loop.now - body.paused_at < PATIENCE or body.paused_at < 0)
+
+    def shares(self) -> list[float]:
+        return [body.fleet.share / CALL for body in self.up() if body.fleet is not None]
+
+    def agreed(self) -> bool:
+        """Whether all that are up, and are not paused, see exactly those as there."""
+        names = {body.name for body in self.up()}
+        return all({member.word.name for member in body.fleet.members.there()} == names
+                   for body in self.up() if body.fleet is not None)
+
+    def run(self, seconds: float) -> None:
+        """Plays on, sampling each tick."""
+        async def play() -> None:
+            until = self.loop.now + seconds
+            while self.loop.now < until - 1e-9:
+                await asyncio.sleep(TICK)
+                self.sample()
+        self.loop.run_until_complete(play())
