Dealing: units stick until owed, idle members keep an eighth, a mass join no longer stops it

Seen in the lab, 27 servers joining 3 in 2 s: the sum of shares fell to 13 of 60 for 3 s, as newcomers stand in the view before they report and the dealer took itself for one with too few. It binds itself only after a second and a half of that now; raises still stop at once. Units went round each turn and a tenth of the share was on its way at any time: a member keeps what it has until one and a half calls are owed.

--- a/burlloom/fleet/deal.py
+++ b/burlloom/fleet/deal.py
@@ -16,7 +16,7 @@
 
 Source: Google's Doorman (2016) hands out leases of a capacity from an elected server with a learning mode;
 Breakwater (Cho and others, OSDI 2020) grants credits by demand. The split is max-min fair, by weight; whole calls go
-round in turns by error diffusion, so that each has its exact share over a few turns and the sum is exact in each.
+round in turns by error diffusion, so that each has its exact share over some turns and the sum is exact in each.
 """
 
 from collections.abc import Callable, Mapping, Sequence
@@ -25,6 +25,8 @@
 from typing import NamedTuple
 
 CALL = 1000  # thousandths
+IDLE = 8  # one that wants nothing keeps one part in so many of an equal share, for its first call
+STICKS = 1500  # thousandths; see `turns`
 HEADROOM = 1.25  # of what a member uses: more is free for its next peak
 MS = 1_000_000
 
@@ -122,6 +124,7 @@
     told: Told
     bound: int
     target: int = 0
+    wanted: int = 0  # when we last dealt
     carry: float = 0.0
 
 
@@ -140,7 +143,8 @@
     def __init__(self, terms: Terms, now: int) -> None:
         self.terms = terms
         self.phase = Phase.IDLE
-        self.since = self.turned = now
+        self.since = self.turned = self.many_at = now
+        self.hurried = False  # somebody wants far more than when we last dealt
         self.accounts: dict[str, Account] = {}
         self.fleet: Mapping[str, Present] = {}
         self.is_first = False
@@ -151,6 +155,8 @@
     def round(self, now: int, fleet: Mapping[str, Present], first: bool, gap: bool = False) -> None:
         """`fleet`: all that may hold something, by name. `gap`: nothing was done here for long."""
         self.fleet, self.is_first = fleet, first
+        if self.many(now):
+            self.many_at = now
         for name, account in list(self.accounts.items()):
             if name not in fleet or fleet[name].life > account.life or self.lost(now, fleet[name]):
                 del self.accounts[name]
@@ -167,6 +173,7 @@
             return None  # played again, or overtaken
         else:
             account.number, account.at, account.told, account.bound = number, now, told, told.held
+        self.hurried |= told.want > 2 * account.wanted + CALL
         grant = self.grant(now, account)
         account.bound = max(told.held, grant)
         return grant
@@ -177,8 +184,10 @@
         share, held = account.told.share, account.told.held
         if self.phase is Phase.BOUND:
             return min(share, self.terms.equal(len(self.fleet)))
-        if self.phase is Phase.LEARNING or account.target <= share:
-            return min(share, account.target) if self.phase is Phase.DEALING else share
+        if self.phase is Phase.LEARNING:
+            return share
+        if account.target <= share or not self.many(now):
+            return min(share, account.target)
         return max(share, whole(min(account.target, held + max(0, self.free(now)))))
 
     def free(self, now: int) -> int:
@@ -223,8 +232,9 @@
         return 2 * self.reporting(now) > self.size()
 
     def few(self, now: int) -> bool:
-        """Those that come to a new dealer need a moment."""
-        return not self.many(now) and now - self.since > self.terms.fresh
+        """For so long that it is no moment in which many came at once and have not reported yet, or have not
+        yet come to a new dealer. Raises stop at once all the same."""
+        return now - max(self.many_at, self.since) > self.terms.fresh
 
     def learned(self, now: int) -> bool:
         if not self.many(now):
@@ -247,19 +257,20 @@
     def deal(self, now: int) -> None:
         """New targets once a turn, for those who report; what the others are bound by is not there to be
         dealt."""
-        if now - self.turned < self.terms.turn:
+        if now - self.turned < (self.terms.turn // 4 if self.hurried else self.terms.turn):
             return
-        self.turned = now
+        self.turned, self.hurried = now, False
         self.turns += 1
         names = sorted(name for name, account in self.accounts.items() if now - account.at <= self.terms.lease)
         kept = sum(account.bound for name, account in self.accounts.items() if now - account.at > self.terms.lease)
         unknown = sum(name not in self.accounts and not self.lost(now, one) for name, one in self.fleet.items())
         total = max(0, self.terms.total - kept - unknown * self.terms.equal(len(self.fleet)))
         accounts = [self.accounts[name] for name in names]
-        ideal = fair(total, [account.told.want for account in accounts],
+        idle = self.terms.equal(len(self.fleet)) // IDLE
+        ideal = fair(total, [max(idle, account.told.want) for account in accounts],
                      [account.told.weight for account in accounts])
         for account, target in zip(accounts, turns(total, ideal, accounts), strict=True):
-            account.target = target
+            account.target, account.wanted = target, account.told.want
 
 
 def whole(share: int) -> int:
@@ -288,31 +299,29 @@
 
 
 def turns(total: int, ideal: Sequence[float], accounts: Sequence[Account]) -> list[int]:
-    """Whole calls where a share is one or more: what is cut off a share is carried to the next turn, and the
-    units left over go to those that are owed most. Thousandths; the sum is at most `total`."""
-    given = []
-    for share, account in zip(ideal, accounts, strict=True):
-        if share < CALL:
-            account.carry = 0.0
-            given.append(int(share))
-        else:
-            owed = share + account.carry
-            given.append(max(0, int(owed // CALL) * CALL))
-            account.carry = owed - given[-1]
-    left = (total - sum(given)) // CALL
+    """Whole calls where a share is one or more, thousandths; the sum is at most `total`. What a share is rounded
+    by is carried on, and a member keeps what it has until STICKS is owed to it or by it: each change costs the time
+    in which one has given a call back and the other has not yet taken it."""
+    owed, given = [0.0] * len(accounts), [0] * len(accounts)
     large = [at for at, share in enumerate(ideal) if share >= CALL]
-    for at in sorted(large, key=lambda at: -accounts[at].carry)[:max(0, left)]:
+    for at, (share, account) in enumerate(zip(ideal, accounts, strict=True)):
+        if share < CALL:
+            account.carry, given[at] = 0.0, int(share)
+            continue
+        owed[at] = share + account.carry
+        stays = account.target >= CALL and account.target % CALL == 0 and abs(owed[at] - account.target) < STICKS
+        given[at] = account.target if stays else max(0, int(owed[at] // CALL) * CALL)
+    left = total - sum(given)
+    while left >= CALL and large:
+        at = max(large, key=lambda at: owed[at] - given[at])
         given[at] += CALL
-        accounts[at].carry -= CALL
-    # Carries may ask for more than there is: the least owed give back.
-    over = sum(given) - total
-    for at in sorted(large, key=lambda at: accounts[at].carry):
-        if over <= 0:
-            break
-        if given[at] >= CALL:
-            given[at] -= CALL
-            accounts[at].carry += CALL
-            over -= CALL
+        left -= CALL
+    while left < 0 and (some := [at for at in large if given[at] >= CALL]):
+        at = min(some, key=lambda at: owed[at] - given[at])
+        given[at] -= CALL
+        left += CALL
+    for at in large:
+        accounts[at].carry = max(-2.0 * STICKS, min(2.0 * STICKS, owed[at] - given[at]))
     return given
 
 
--- a/burlloom/lab/emulator.py
+++ b/burlloom/lab/emulator.py
@@ -7,12 +7,13 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from hdrh.histogram import HdrHistogram
 from numpy.random import Generator, default_rng
 
 from ..server.assembly import Server
+from ..server.fleeting import Fleeting
 from ..server.leveling import Leveling
 from ..server.recording import Keeping
 from .below import Catalogue
@@ -67,17 +68,25 @@
     row: Callable[["Emulator"], dict[str, float]] = field(default=lambda fleet: {})
 
 
+class Fleets(Protocol):
+    """What joins the nodes' servers into a fleet."""
+
+    def fleeting(self, node: Node) -> Callable[[Server], Fleeting]: ...
+
+
 class Emulator:
     """One play of a world. `keeping` gives each server its record, `leveling` its levels of reduced
     service."""
 
     def __init__(self, world: World, loop: SimulatedLoop, keeping: Callable[[Server], Keeping] | None = None,
-                 leveling: Callable[[Server], Leveling] | None = None, watch: Watch | None = None) -> None:
+                 leveling: Callable[[Server], Leveling] | None = None, watch: Watch | None = None,
+                 fleets: Callable[["Emulator"], Fleets] | None = None) -> None:
         self.world, self.loop, self.keeping, self.leveling, self.watch = world, loop, keeping, leveling, watch or Watch()
+        self.fleets = fleets(self) if fleets is not None else None
         seeds = default_rng(world.seed).spawn(6)
         self.load_chance, self.way_chance, self.fault_chance, self.list_chance, below, machines = seeds
         told, callers = world.machines, world.callers
-        self.settings = world.settings(told.count)
+        self.settings = world.settings(told.first or told.count)
         self.below = Catalogue(loop, world.below, below)
         self.rules = Rules(told.grace_ms / 1000, told.tip_multiple, world.below.slots * world.below.headroom)
         self.count: Counter[str] = Counter()
@@ -160,7 +169,7 @@
 
     async def play(self) -> None:
         world = self.world
-        for node in self.nodes:
+        for node in self.nodes[:world.machines.first or None]:
             node.start(cold=False)
         await asyncio.sleep(0.01)
         for fault in world.faults:
@@ -232,6 +241,14 @@
                 for node in nodes:
                     node.stop(killed=True)
                 ends = lambda: self.come_back(nodes)
+            case "join":
+                down = [node for node in self.nodes if not node.up and not node.life][:int(fault.size)]
+                for at, node in enumerate(down):
+                    self.loop.call_later(at * fault.for_s / len(down), node.start, False)
+            case "leave":
+                gone = [node for node in self.nodes if node.up][-int(fault.size):]
+                for at, node in enumerate(gone):
+                    self.loop.call_later(at * fault.for_s / len(gone), self.replace, node, False)
             case "slow" | "deaf":
                 nodes = [self.nodes[one] for one in self.some(fault.part, len(self.nodes), self.fault_chance)]
                 self.ail(nodes, fault, True)
@@ -279,12 +296,12 @@
         for at, node in enumerate(nodes):
             self.loop.call_later(at // batch * fault.for_s / steps, self.replace, node)
 
-    def replace(self, node: Node) -> None:
+    def replace(self, node: Node, comes_back: bool = True) -> None:
         if node.up and node.server is not None:
             node.drain()
-            node.server.tasks.start(self.replaced(node, node.server), "replaced")
+            node.server.tasks.start(self.replaced(node, node.server, comes_back), "replaced")
 
-    async def replaced(self, node: Node, server: Server) -> None:
+    async def replaced(self, node: Node, server: Server, comes_back: bool) -> None:
         life = node.life
         try:
             async with asyncio.timeout(self.world.machines.stop_ms / 1000):
@@ -293,7 +310,8 @@
             pass
         if node.life == life and node.up:
             self.loop.call_soon(node.stop, False)
-            self.loop.call_later(RESTARTING, node.start, True)
+            if comes_back:
+                self.loop.call_later(RESTARTING, node.start, True)
 
     def outcome(self, took: float) -> Outcome:
         products = self.world.products
@@ -313,14 +331,15 @@
 
 
 def play(world: World, keeping: Callable[[Server], Keeping] | None = None,
-         leveling: Callable[[Server], Leveling] | None = None, watch: Watch | None = None) -> Outcome:
+         leveling: Callable[[Server], Leveling] | None = None, watch: Watch | None = None,
+         fleets: Callable[[Emulator], Fleets] | None = None) -> Outcome:
     """Plays it to its end. The same world gives the same outcome, to the last figure but `took`."""
     began = time.perf_counter()
     before = logging.root.manager.disable
     logging.disable(logging.WARNING)  # thousands of lives in one log tell nothing
     try:
         with simulated() as loop:
-            fleet = Emulator(world, loop, keeping, leveling, watch)
+            fleet = Emulator(world, loop, keeping, leveling, watch, fleets)
             loop.run_until_complete(fleet.play())
             outcome = fleet.outcome(time.perf_counter() - began)
             for node in fleet.nodes:
--- a/burlloom/lab/fleets.py
+++ b/burlloom/lab/fleets.py
@@ -10,8 +10,15 @@
 
 from numpy.random import default_rng
 
+from ..catalogue import Pool
+from ..catalogue.spread import Pools
+from ..desk import Desk
 from ..fleet import CALL, Fleet, Habits, State, Terms, Word
+from ..server.assembly import Server
+from ..server.fleeting import Fleeting, Share
 from .clock import EPOCH, SECOND, SimulatedLoop
+from .emulator import Emulator
+from .node import Node
 
 TICK = 0.1  # s, as the server's beat
 PATIENCE = 6.0  # s, for which the calls of one that was paused stay in hand below
@@ -175,3 +182,83 @@
                 await asyncio.sleep(TICK)
                 self.sample()
         self.loop.run_until_complete(play())
+
+
+class Joined:
+    """A node's server in the fleet: as `server.fleeting.Fleeted`, over the network of a world."""
+
+    def __init__(self, fleets: "Joining", node: Node, server: Server) -> None:
+        self.fleets, self.node, self.server = fleets, node, server
+        loop, world = fleets.loop, fleets.emulator.world
+        self.address = address(node.index)
+        own = Word(node.name, self.address, loop.wall() // 1_000_000 + node.life, 0, State.ALIVE)
+        self.fleet = Fleet(own, fleets.seeds, (KEY,), fleets.terms, fleets.habits,
+                           Random(world.seed * 1_000_003 + node.index * 1009 + node.life), loop.wall())
+        self.share = Share(self.fleet)
+        fleets.net.places[self.address] = self.hear
+        loop.call_soon(lambda: server.tasks.start(self.keep(), "fleet"))
+
+    async def open(self) -> None: ...
+
+    def begin_desk(self, desk: Desk) -> None:
+        self.share.desk = desk
+        self.share.tell()
+
+    def may_call(self) -> bool:
+        return self.fleet.good(self.fleets.loop.wall())
+
+    def pool(self, one: Pool) -> Pool | Pools:
+        return one
+
+    async def keep(self) -> None:
+        while True:
+            self.share.uses()
+            self.fleet.tick(self.fleets.loop.wall())
+            self.after()
+            await asyncio.sleep(TICK)
+
+    def hear(self, data: bytes) -> None:
+        if self.node.server is self.server:  # else it was killed
+            self.fleet.hear(self.fleets.loop.wall(), data)
+            self.after()
+
+    def after(self) -> None:
+        self.share.tell()
+        self.fleet.moves = []
+        while self.fleet.out:
+            self.fleets.net.send(self.address, *self.fleet.out.popleft())
+
+    def close(self) -> None:
+        self.fleet.leave(self.fleets.loop.wall())
+        self.after()
+
+
+def address(index: int) -> str:
+    return f"10.1.{index // 200}.{index % 200 + 1}:7946"
+
+
+class Joining:
+    """Joins the nodes of a world; zones that are cut in the world are cut for letters too."""
+
+    def __init__(self, emulator: Emulator, terms: Terms, habits: Habits | None = None, loss: float = 0.0) -> None:
+        self.emulator, self.loop, self.terms, self.habits = emulator, emulator.loop, terms, habits or Habits()
+        low, high = emulator.world.callers.net_ms
+        self.net = Net(self.loop, emulator.world.seed, (low / 1000, high / 1000), loss)
+        self.net.parted = self.parted  # type: ignore[method-assign]
+        self.seeds = tuple(address(index) for index in range(3))
+
+    def zone(self, place: str) -> int:
+        _, _, high, low = place.split(":")[0].split(".")
+        return (int(high) * 200 + int(low) - 1) % self.emulator.world.machines.zones
+
+    def parted(self, source: str, target: str) -> bool:
+        cuts = self.emulator.cuts
+        return bool(cuts) and self.zone(source) != self.zone(target) and bool(cuts & {self.zone(source), self.zone(target)})
+
+    def fleeting(self, node: Node) -> Callable[[Server], Fleeting]:
+        return lambda server: Joined(self, node, server)
+
+    def shares(self) -> dict[str, float]:
+        """Of those that are up, calls."""
+        return {node.name: node.server.fleet.fleet.share / CALL for node in self.emulator.nodes
+                if node.up and node.server is not None and isinstance(node.server.fleet, Joined)}
--- a/burlloom/lab/node.py
+++ b/burlloom/lab/node.py
@@ -62,7 +62,8 @@
                         512, 64 << 20, tuple(one.name for one in fleet.world.products),
                         {one.name: one.share for one in fleet.world.tenants}, meters)
         with socket.socket() as listener:
-            server = self.server = Server(orders, listener, fleet.keeping, fleet.leveling)
+            server = self.server = Server(orders, listener, fleet.keeping, fleet.leveling,
+                                          fleet.fleets.fleeting(self) if fleet.fleets is not None else None)
         server.reports.sock.close()
         server.clock = server.front.clock = loop.wall  # type: ignore[assignment]
         server.front.listener = None
@@ -150,6 +151,8 @@
         self.up = False
         self.fleet.rules.stopped(self.fleet.loop.now, self.name, self.life, killed)
         self.executor.stop()
+        if not killed:
+            self.server.fleet.close()
         for task in list(self.server.tasks.running):
             task.cancel()
         self.server = None
--- a/burlloom/lab/world.py
+++ b/burlloom/lab/world.py
@@ -60,7 +60,8 @@
 
     Past `thrash_at` that want a core each, every further one takes `thrash` of a core's work away. A cold
     one starts at `cold_from` of its speed and is warm after `warm_s`. Past `tip_multiple` a core, for 3 s,
-    it falls over."""
+    it falls over. `first`: so many are up as it begins, and each is told its share of the calls below as if
+    there were no more; 0: all."""
 
     count: Annotated[int, Field(ge=1, le=1000)]
     cores: Annotated[int, Field(ge=1, le=256)] = 6
@@ -77,6 +78,7 @@
     tip_multiple: Annotated[float, Field(gt=1)] = 5
     stop_ms: Positive = 6000
     grace_ms: Annotated[float, Field(ge=0)] = 2500
+    first: Annotated[int, Field(ge=0, le=1000)] = 0
 
 
 class Callers(Part):
@@ -127,12 +129,13 @@
 class Fault(Part):
     """From `at_s` for `for_s`. `part`: of the machines, callers or zones; `size`: how much, by kind.
 
-    kill: those machines die and come back cold. release: they are drained in steps of `size` of all. cut:
+    kill: those machines die and come back cold. join: `size` more machines start, one after the other; leave:
+    the last `size` of those that are up are drained and stay away. release: they are drained in steps of `size` of all. cut:
     a zone's machines and callers hear nobody else. slow: the machines' cores, by `size`. below-slow,
     below-gone: the catalogue. restart: those callers start again at once, with all open tries lost. flood:
     `size` times the retries of one product, as from callers without limit. deaf: gauges are not told."""
 
-    kind: Literal["kill", "release", "cut", "slow", "below-slow", "below-gone", "restart", "flood", "deaf"]
+    kind: Literal["kill", "join", "leave", "release", "cut", "slow", "below-slow", "below-gone", "restart", "flood", "deaf"]
     at_s: Annotated[float, Field(ge=0)]
     for_s: Annotated[float, Field(ge=0)] = 5
     part: Share = 0.2
