Recovery: what a life left is judged, fenced and used as a hint; a bounded ramp; retries held back

Peers tell one that was started again which life of its name they knew; the store of record its own count, so that a lost store is not taken for a new one.

A charge whose record was deleted is voided, not run again. 200 marked retries in a moment: under 40 run.

--- a/burlloom/desk/desk.py
+++ b/burlloom/desk/desk.py
@@ -15,7 +15,7 @@
 from dataclasses import replace
 
 from ..choice import Choice
-from ..interface import Gauges, Outcome, Repeatable, ServerFacts, Service, Txn
+from ..interface import Gauges, Outcome, Relief, Repeatable, ServerFacts, Service, Txn
 from .ledger import Ledger, Record, mark_of
 from .steps import AtCall, CallEnded, Kind, Leaving, Recalled, RunEnded, Step, Try
 
@@ -64,7 +64,8 @@
         self.outbox: deque[tuple[Seat, Step]] = deque()
         self.copies: deque[tuple[int, Step]] = deque()
         self.handing = False
-        self.service = Service()
+        self.service = self.told_service = Service()
+        self.by_share = self.holding_back = False
         self.said_trial = ""
         self.healthy, self.said, self.idle_for = True, "", facts.idle
         now = clock()
@@ -120,10 +121,29 @@
 
     def serve_at(self, service: Service) -> None:
         """The level of service that holds from now on."""
+        self.by_share = service.relief.over or service.above.over
+        self.told_service = service
+        self.serve()
+
+    def hold_back(self, on: bool) -> None:
+        """While service comes back, tries that are held back are given up at any level."""
+        self.holding_back = on
+        self.serve()
+
+    def serve(self) -> None:
+        service = self.told_service
+        if self.holding_back:
+            service = replace(service, relief=self.held(service.relief), above=self.held(service.above))
         self.service = service
         self.choice.serve_at(self.clock(), service)
         self.flush()
 
+    def held(self, relief: Relief) -> Relief:
+        none = (False,) * len(self.names)
+        return relief if relief.over else replace(
+            relief, name=relief.name or "coming-back", declined=relief.declined or none, kept=relief.kept or none,
+            repeats=relief.repeats or none, skips=relief.skips or none, over=True)
+
     def share_calls(self, share: float) -> None:
         """Our share of the calls below from now on, as the fleet deals it."""
         self.choice.share_calls(self.clock(), share)
@@ -203,7 +223,7 @@
             ref=ref, caller=caller[0], product=txn.product,
             cost=txn.cost, unread=max(0, now - txn.at), expiry_at=0, kb=txn.kb, rank=txn.rank,
             repeat_of=self.ledger.holder(mark, txn.at) if mark and self.counts(mark, txn, now) else -1,
-            entry=txn.entry, retry=txn.retry, over=txn.over, lot=txn.lot))
+            entry=txn.entry, retry=txn.retry, over=txn.over and self.by_share or txn.held_back, lot=txn.lot))
         return seat
 
     def counts(self, mark: bytes, txn: Try, now: int) -> bool:
--- a/burlloom/desk/steps.py
+++ b/burlloom/desk/steps.py
@@ -47,6 +47,7 @@
     retry: bool = False  # it is marked as a further try, or a copy
     over: bool = False  # it is past its tenant's share
     lot: float = 0.0  # its caller's own, from 0 to under 1
+    held_back: bool = False  # it is a retry past what is read while service comes back
 
 
 @dataclass(frozen=True, slots=True)
--- a/burlloom/fleet/fleet.py
+++ b/burlloom/fleet/fleet.py
@@ -19,6 +19,7 @@
 MEMBERS_MOST = 1000  # that a view holds; a fleet is some hundreds
 RESEND = 3  # rounds that a report's grant is waited for
 GAP_ROUNDS = 5  # without a tick: our own process stood still
+FORMER_TIMES = 4  # that one is told of its life before: letters are lost
 OUT_MOST = 4096  # letters that wait for the host
 
 
@@ -99,6 +100,8 @@
         self.dealt_by = ""
         self.switched = now - 3600 * 1000 * MS
         self.report_number, self.report_at, self.asked_of = -1, now, ""
+        self.former = 0  # the latest life of our name before this one that others knew, Unix ms
+        self.formers: dict[str, tuple[int, int]] = {}  # who was started again: the life before, and how often it is told
         self.seen, self.first, self.present = -1, own, dict[str, Present]()
         self.strangers = 0  # members whose terms are not ours
 
@@ -153,12 +156,16 @@
     def settle(self) -> None:
         """Passes on what moved, and keeps it for the host."""
         for move in self.members.moves:
+            before, after = move.before, move.after
+            if before is not None and after is not None and before.life < after.life and before.state is not State.LEFT:
+                self.formers[after.name] = before.life, FORMER_TIMES
             if move.after is not None:
                 self.news[move.after.name] = 0
                 self.counts.suspected += move.after.state is State.SUSPECT
                 self.counts.buried += move.after.state is State.DEAD
             elif move.before is not None:
                 self.news.pop(move.before.name, None)
+                self.formers.pop(move.before.name, None)
         self.moves = (self.moves + self.members.moves)[-MEMBERS_MOST:]
         self.members.moves = []
 
@@ -335,6 +342,10 @@
     def said_bye(self, now: int, letter: Letter) -> None:
         pass  # its own word, which goes with each letter, has said it
 
+    def former_told(self, now: int, letter: Letter) -> None:
+        if len(letter.numbers) == 1 and letter.numbers[0] < self.own.life:
+            self.former = max(self.former, letter.numbers[0])
+
     # What goes.
 
     def leave(self, now: int) -> None:
@@ -351,6 +362,11 @@
         words = [self.members.by_name[about].word] if about in self.members.by_name and not (
             self.members.by_name[about].state is State.ALIVE) else []
         self.post(address, Letter(kind, self.own, number, numbers, name, tuple(words + self.gossip(about))))
+        if about in self.formers:
+            life, times = self.formers.pop(about)
+            if times > 1:
+                self.formers[about] = life, times - 1
+            self.post(address, Letter(Kind.FORMER, self.own, 0, (life,)))
 
     def gossip(self, about: str) -> list[Word]:
         """What was passed on least often so far; each of our news some times the logarithm of the fleet."""
@@ -375,7 +391,7 @@
 
 HEARD = {Kind.PING: Fleet.pinged, Kind.ACK: Fleet.acked, Kind.ASK: Fleet.asked, Kind.SYNC: Fleet.synced_by,
          Kind.PAGE: Fleet.paged, Kind.REPORT: Fleet.reported_to, Kind.GRANT: Fleet.grant_came,
-         Kind.BYE: Fleet.said_bye}
+         Kind.BYE: Fleet.said_bye, Kind.FORMER: Fleet.former_told}
 
 
 def summary(fleet: Fleet, now: int) -> Mapping[str, object]:
--- a/burlloom/fleet/letters.py
+++ b/burlloom/fleet/letters.py
@@ -33,6 +33,7 @@
     REPORT = 5  # to who deals: held and wanted, in thousandths of a call; weight
     GRANT = 6  # to the REPORT of that number: the share, and 1 where half of the fleet reports to us
     BYE = 7  # our own word says that we left
+    FORMER = 8  # to one that was started again: the life of its name that we knew, which did not say that it left
 
 
 class Letter(NamedTuple):
--- a/burlloom/lab/emulator.py
+++ b/burlloom/lab/emulator.py
@@ -16,6 +16,7 @@
 from ..server.fleeting import Fleeting
 from ..server.leveling import Leveling
 from ..server.recording import Keeping
+from ..server.recovering import Recovering
 from .below import Catalogue
 from .callers import Balancer
 from .clock import SimulatedLoop, simulated
@@ -80,8 +81,10 @@
 
     def __init__(self, world: World, loop: SimulatedLoop, keeping: Callable[[Server], Keeping] | None = None,
                  leveling: Callable[[Server], Leveling] | None = None, watch: Watch | None = None,
-                 fleets: Callable[["Emulator"], Fleets] | None = None) -> None:
+                 fleets: Callable[["Emulator"], Fleets] | None = None,
+                 recovering: Callable[[Server], Recovering] | None = None) -> None:
         self.world, self.loop, self.keeping, self.leveling, self.watch = world, loop, keeping, leveling, watch or Watch()
+        self.recovering = recovering
         self.fleets = fleets(self) if fleets is not None else None
         seeds = default_rng(world.seed).spawn(6)
         self.load_chance, self.way_chance, self.fault_chance, self.list_chance, below, machines = seeds
@@ -332,14 +335,15 @@
 
 def play(world: World, keeping: Callable[[Server], Keeping] | None = None,
          leveling: Callable[[Server], Leveling] | None = None, watch: Watch | None = None,
-         fleets: Callable[[Emulator], Fleets] | None = None) -> Outcome:
+         fleets: Callable[[Emulator], Fleets] | None = None,
+         recovering: Callable[[Server], Recovering] | None = None) -> Outcome:
     """Plays it to its end. The same world gives the same outcome, to the last figure but `took`."""
     began = time.perf_counter()
     before = logging.root.manager.disable
     logging.disable(logging.WARNING)  # thousands of lives in one log tell nothing
     try:
         with simulated() as loop:
-            fleet = Emulator(world, loop, keeping, leveling, watch, fleets)
+            fleet = Emulator(world, loop, keeping, leveling, watch, fleets, recovering)
             loop.run_until_complete(fleet.play())
             outcome = fleet.outcome(time.perf_counter() - began)
             for node in fleet.nodes:
--- a/burlloom/lab/fleets.py
+++ b/burlloom/lab/fleets.py
@@ -15,7 +15,7 @@
 from ..desk import Desk
 from ..fleet import CALL, Fleet, Habits, State, Terms, Word
 from ..server.assembly import Server
-from ..server.fleeting import Fleeting, Share
+from ..server.fleeting import Fleeting, Share, shares
 from .clock import EPOCH, SECOND, SimulatedLoop
 from .emulator import Emulator
 from .node import Node
@@ -194,7 +194,7 @@
         own = Word(node.name, self.address, loop.wall() // 1_000_000 + node.life, 0, State.ALIVE)
         self.fleet = Fleet(own, fleets.seeds, (KEY,), fleets.terms, fleets.habits,
                            Random(world.seed * 1_000_003 + node.index * 1009 + node.life), loop.wall())
-        self.share = Share(self.fleet)
+        self.share, self.recovery, self.former = Share(self.fleet, server.recovery.cap), server.recovery, 0
         fleets.net.places[self.address] = self.hear
         loop.call_soon(lambda: server.tasks.start(self.keep(), "fleet"))
 
@@ -222,7 +222,16 @@
             self.fleet.hear(self.fleets.loop.wall(), data)
             self.after()
 
+    def equal(self) -> tuple[float, float] | None:
+        return shares(self.fleet)
+
+    def addresses(self) -> tuple[str, ...]:
+        return ()
+
     def after(self) -> None:
+        if self.fleet.former != self.former:
+            self.former = self.fleet.former
+            self.recovery.peer(self.former)
         self.share.tell()
         self.fleet.moves = []
         while self.fleet.out:
--- a/burlloom/lab/node.py
+++ b/burlloom/lab/node.py
@@ -63,7 +63,8 @@
                         {one.name: one.share for one in fleet.world.tenants}, meters)
         with socket.socket() as listener:
             server = self.server = Server(orders, listener, fleet.keeping, fleet.leveling,
-                                          fleet.fleets.fleeting(self) if fleet.fleets is not None else None)
+                                          fleet.fleets.fleeting(self) if fleet.fleets is not None else None,
+                                          fleet.recovering)
         server.reports.sock.close()
         server.clock = server.front.clock = loop.wall  # type: ignore[assignment]
         server.front.listener = None
--- a/burlloom/operator/__init__.py
+++ b/burlloom/operator/__init__.py
@@ -4,6 +4,7 @@
 from .load import Faults, load
 from .levels import LevelsPart
 from .part import Part
+from .recovery import RecoveryPart
 from .schema import Metrics, Operator, Postgres, Record, Sqlite
 
-__all__ = ["Faults", "FleetPart", "LevelsPart", "Metrics", "Operator", "Part", "Postgres", "Record", "Sqlite", "load"]
+__all__ = ["Faults", "FleetPart", "LevelsPart", "Metrics", "Operator", "Part", "Postgres", "Record", "RecoveryPart", "Sqlite", "load"]
--- /dev/null
+++ b/burlloom/operator/recovery.py
@@ -0,0 +1,49 @@
+"""The operator's word on how a server comes back."""
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Literal, Self
+
+from pydantic import Field, model_validator
+
+from .part import Part
+
+if TYPE_CHECKING:
+    from ..recovery import Terms
+
+MS = 1_000_000
+Span = Annotated[int, Field(ge=1, le=86_400_000)]
+Share = Annotated[float, Field(gt=0, le=1)]
+
+
+class RecoveryPart(Part):
+    """`state_file`: what a life leaves to the next, written each second; without one, each start is cold.
+
+    `begin`: the part of an equal share of the calls that a start begins with, doubled each `step_ms` while calls
+    come back well; `begin_warm`: of the last share, where what was left is believed. `ask_ms`: how long peers and
+    the store are waited for. `age_ms`: what is older is not believed. `retries`: marked retries for each first
+    try, while service comes back. `fence`: "retries": those that may have run in a life whose marks are lost are
+    voided for one window; "off": they are taken for new."""
+
+    state_file: str | None = None
+    step_ms: Span = 500
+    begin: Share = 0.1
+    begin_warm: Share = 0.5
+    ask_ms: Span = 2000
+    age_ms: Span = 600_000
+    retries: Annotated[float, Field(ge=0, le=10)] = 0.2
+    retries_few: Annotated[float, Field(ge=0, le=1000)] = 2.0
+    fence: Literal["retries", "off"] = "retries"
+
+    @model_validator(mode="after")
+    def it_can_be(self) -> Self:
+        if self.state_file is not None and not Path(self.state_file).parent.is_dir():
+            raise ValueError(f"state_file: the folder {Path(self.state_file).parent} does not exist")
+        if self.begin_warm < self.begin:
+            raise ValueError(f"begin_warm {self.begin_warm:g} is under begin, {self.begin:g}")
+        return self
+
+    def terms(self, window: int) -> "Terms":
+        """`window`: the longest of the products', ns."""
+        from ..recovery import Terms
+        return Terms(window, self.step_ms * MS, self.begin, self.begin_warm, ask=self.ask_ms * MS, age_most=self.age_ms * MS,
+                     retry_part=self.retries, retry_few=self.retries_few, fence=self.fence)
--- a/burlloom/operator/schema.py
+++ b/burlloom/operator/schema.py
@@ -8,6 +8,7 @@
 from .fleet import FleetPart
 from .levels import LevelsPart
 from .part import Part
+from .recovery import RecoveryPart
 
 Share = Annotated[float, Field(gt=0, le=1)]
 Address = Annotated[str, Field(pattern=r"^[^\s:]+:[0-9]{1,5}$")]
@@ -111,6 +112,7 @@
     metrics: Metrics | None = None
     levels: LevelsPart | None = None
     fleet: FleetPart | None = None
+    recovery: RecoveryPart | None = None
 
     @model_validator(mode="after")
     def something_to_expose(self) -> Self:
--- /dev/null
+++ b/burlloom/recovery/start.py
@@ -0,0 +1,110 @@
+"""Whether what a former life left is acted on: a table. No I/O.
+
+States: READING nothing is known yet; ASKING what was kept looks good, and peers or the store are asked whether a
+later life than that one is known; COLD nothing kept is acted on; WARM what was kept is.
+
+Two things are decided apart from each other. Hints (where to begin the ramp) are dropped at the least doubt: cold costs
+seconds. The fence is raised at the least doubt: while it stands, a marked retry of which nothing is known here is
+voided, as it may have run in a life of which the marks are lost. Addresses of others are no decision: they are asked
+in any case, and letters are sealed.
+"""
+
+from collections.abc import Callable
+from enum import IntEnum
+
+from .kept import Verdict
+
+
+class State(IntEnum):
+    READING = 0
+    ASKING = 1
+    COLD = 2
+    WARM = 3
+
+
+class Input(IntEnum):
+    KEPT_GOOD = 0
+    KEPT_BAD = 1  # torn, another's, of the future
+    KEPT_OLD = 2
+    KEPT_NONE = 3
+    SAID_SAME = 4  # a peer, or the store, knows no later life than the one that wrote it
+    SAID_LATER = 5  # it knows a later one: what was kept is of an older epoch
+    SAID_EARLIER = 6  # the store knows less than what was kept: it was lost, or put back from before
+    SAID_LIVED = 7  # nothing was kept, and a peer knows that we lived
+    SILENT = 8  # nobody has said anything in time
+
+
+TABLE = """
+READING KEPT_GOOD    -      ASKING fence_unclean
+READING KEPT_BAD     -      COLD   fence
+READING KEPT_OLD     -      COLD   -
+READING KEPT_NONE    -      COLD   -
+ASKING  SAID_SAME    -      WARM   use
+ASKING  SAID_LATER   -      COLD   fence
+ASKING  SAID_EARLIER -      COLD   fence
+ASKING  SILENT       lonely WARM   use
+ASKING  SILENT       -      COLD   -
+COLD    SAID_LIVED   -      COLD   fence
+COLD    SAID_LATER   -      COLD   fence
+COLD    SAID_EARLIER -      COLD   fence
+WARM    SAID_LATER   -      COLD   fence
+WARM    SAID_EARLIER -      COLD   fence
+"""
+
+OF_VERDICT = {Verdict.GOOD: Input.KEPT_GOOD, Verdict.OLD: Input.KEPT_OLD, Verdict.MISSING: Input.KEPT_NONE,
+              Verdict.TORN: Input.KEPT_BAD, Verdict.FOREIGN: Input.KEPT_BAD, Verdict.FUTURE: Input.KEPT_BAD}
+
+
+class Start:
+    """`lonely`: there are neither peers nor a store to ask. `clean`: the life that wrote had drained. Times in ns."""
+
+    def __init__(self, lonely: bool, clean: bool, window: int) -> None:
+        self.lonely_here, self.clean, self.window = lonely, clean, window
+        self.state = State.READING
+        self.fenced_until = 0
+        self.used = False
+
+    def meet(self, what: Input, now: int) -> str:
+        """Gives the effect; empty where no row holds."""
+        for test, state, effect in RULES.get((self.state, what), ()):
+            if test(self):
+                self.state = state
+                getattr(self, effect)(now)
+                return effect
+        return ""
+
+    def lonely(self) -> bool:
+        return self.lonely_here
+
+    # Effects.
+
+    def nothing(self, now: int) -> None:
+        pass
+
+    def use(self, now: int) -> None:
+        self.used = True
+
+    def fence(self, now: int) -> None:
+        """A life that we know nothing of ended before now: what it ran is within its window until then."""
+        self.used = False
+        self.fenced_until = max(self.fenced_until, now + self.window)
+
+    def fence_unclean(self, now: int) -> None:
+        if not self.clean:
+            self.fenced_until = max(self.fenced_until, now + self.window)
+
+
+Test = Callable[[Start], bool]
+Rules = dict[tuple[State, Input], list[tuple[Test, State, str]]]
+
+
+def rules(table: str) -> Rules:
+    found: Rules = {}
+    for state, what, test, after, effect in filter(None, map(str.split, table.split("\n"))):
+        passes: Test = (lambda start: True) if test == "-" else getattr(Start, test)
+        row = passes, State[after], "nothing" if effect == "-" else effect
+        found.setdefault((State[state], Input[what]), []).append(row)
+    return found
+
+
+RULES = rules(TABLE)
--- a/burlloom/server/__main__.py
+++ b/burlloom/server/__main__.py
@@ -18,25 +18,27 @@
 from .leveling import Leveling  # noqa: E402
 from .logs import set_up  # noqa: E402
 from .recording import Keeping  # noqa: E402
+from .recovering import Recovering  # noqa: E402
 
 OPERATOR = "BURLLOOM_OPERATOR"  # the operator's own file; what it does not switch on is not imported
 Fitted = tuple[Orders, Callable[[Server], Keeping] | None, Callable[[Server], Leveling] | None,
-               Callable[[Server], Fleeting] | None]
+               Callable[[Server], Fleeting] | None, Callable[[Server], Recovering] | None]
 
 
 async def serve(listener: socket.socket, fitted: Fitted) -> None:
-    orders, keeping, leveling, fleeting = fitted
-    await Server(orders, listener, keeping, leveling, fleeting).run()
+    orders, keeping, leveling, fleeting, recovering = fitted
+    await Server(orders, listener, keeping, leveling, fleeting, recovering).run()
 
 
 def switched_on(orders: Orders, path: str) -> Fitted:
     """What the operator's file asks for. Raises `Broken`, with a line for each fault."""
     from ..operator import Faults
-    from .parts import Refused, fleeted, leveled, load_operator, recorded, spanned, stale
+    from .parts import Refused, fleeted, leveled, load_operator, recorded, recovered, spanned, stale
     try:
         operator = load_operator(path)
         orders = spanned(operator, stale(operator, orders))
-        return orders, recorded(operator, orders), leveled(operator, orders), fleeted(operator, orders)
+        return orders, recorded(operator, orders), leveled(operator, orders), fleeted(operator, orders), \
+            recovered(operator, orders)
     except Faults as faults:
         raise Broken("\nburlloom.server: ".join(faults.lines)) from faults
     except Refused as refused:
@@ -58,7 +60,7 @@
     try:
         orders = read()
         listener = bound(orders)
-        fitted: Fitted = switched_on(orders, path) if (path := os.environ.get(OPERATOR, "")) else (orders, None, None, None)
+        fitted: Fitted = switched_on(orders, path) if (path := os.environ.get(OPERATOR, "")) else (orders, None, None, None, None)
     except Broken as error:
         print(f"burlloom.server: {error}", file=sys.stderr)
         return 2
--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -20,6 +20,7 @@
 from .fleeting import Fleeting, NoFleet
 from .leveling import Leveling, NoLevels
 from .recording import Keeping, NoRecord
+from .recovering import NoRecovery, Recovering
 
 log = logging.getLogger(__name__)
 
@@ -66,10 +67,12 @@
     def __init__(self, orders: Orders, listener: socket.socket,
                  keeping: Callable[["Server"], Keeping] | None = None,
                  leveling: Callable[["Server"], Leveling] | None = None,
-                 fleeting: Callable[["Server"], Fleeting] | None = None) -> None:
+                 fleeting: Callable[["Server"], Fleeting] | None = None,
+                 recovering: Callable[["Server"], Recovering] | None = None) -> None:
         self.orders, self.clock, self.tasks = orders, Clock(), Tasks()
         self.record: Keeping = keeping(self) if keeping is not None else NoRecord(self.execute)
         self.levels: Leveling = leveling(self) if leveling is not None else NoLevels()
+        self.recovery: Recovering = recovering(self) if recovering is not None else NoRecovery()
         self.fleet: Fleeting = fleeting(self) if fleeting is not None else NoFleet()
         self.product = {name: index for index, name in enumerate(orders.products)}
         referenced = {name: orders.facts.products[index].repeatable is Repeatable.REFERENCED
@@ -104,6 +107,7 @@
         await self.over.wait()
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self.levels.close()
+        self.recovery.close()
         self.fleet.close()
         await self.record.close()
         log.info("event=stopped unanswered=%d", self.desk.unanswered if self.desk is not None else 0)
@@ -146,7 +150,7 @@
             return
         tried = Try(asked.id, asked.at, asked.caller, self.product[asked.product], asked.cost, asked.kb, asked.rank,
                     asked.once, asked.key, asked.body, self.record.accepts(), asked.retry,
-                    self.levels.over(asked.tenant), self.levels.lot(asked.caller))
+                    self.levels.over(asked.tenant), self.levels.lot(asked.caller), self.recovery.holds_back(asked.retry))
         if asked.retry and self.record.looks and (mark := self.desk.unknown(tried)):
             self.serving[asked.id] = asked
             self.tasks.start(self.look(self.desk, asked, tried, mark), "look")
@@ -160,6 +164,11 @@
             self.take(desk, asked, tried)
 
     def take(self, desk: Desk, asked: Asked, tried: Try) -> None:
+        if asked.retry and self.recovery.fenced() and desk.unknown(tried):
+            # It may have run in a life whose marks are lost: neither run again nor declined.
+            asked.void()
+            self.record.answered(asked.id)
+            return
         step = desk.take(tried)
         if step is not None:
             answer(asked, step)
@@ -224,6 +233,7 @@
             # decisions would call again and again, and soon take the catalogue for one that is down.
             await rest(UNWANTED_WAIT)
         self.levels.called(answer is Answer.WELL)
+        self.recovery.called(answer is Answer.WELL)
         desk.report(CallEnded(id, CALL_OUTCOME[answer], self.clock() - began))
 
     def good(self) -> bool:
@@ -240,6 +250,7 @@
         self.desk = Desk(facts, self.orders.products, self.orders.seed, self.clock, age_ms * MS, results,
                          self.record.recalls)
         self.levels.begin_desk(self.desk, cold, self.record)
+        self.recovery.begin_desk(self.desk, self.record.life)
         self.fleet.begin_desk(self.desk)
         self.record.begin_desk(self.desk, self.clock() - age_ms * MS)
         self.reports.tell(True)
@@ -266,6 +277,7 @@
                 measured = gauges(self.orders.meters, values) if told and values is not None else Gauges()
                 due = desk.tick(measured)
                 self.levels.round(measured)
+                self.recovery.round()
                 self.reports.tell(self.good())
                 self.front.idle = desk.idle_for
                 self.pool.sweep()
--- a/burlloom/server/fleeting.py
+++ b/burlloom/server/fleeting.py
@@ -27,6 +27,7 @@
     from ..fleet import Fleet, Spread
     from ..metrics import Exposed
     from ..operator import FleetPart
+    from .recovering import Recovering
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +45,10 @@
     def may_call(self) -> bool:
         """Just before a call leaves: whether our share is still one that we know."""
     def pool(self, one: Pool) -> Pool | Pools: ...
+    def equal(self) -> tuple[float, float] | None:
+        """An equal share and our own, calls; None where there is no fleet."""
+    def addresses(self) -> tuple[str, ...]:
+        """Of others, for our next life."""
     def close(self) -> None: ...
 
 
@@ -62,6 +67,12 @@
     def pool(self, one: Pool) -> Pool | Pools:
         return one
 
+    def equal(self) -> tuple[float, float] | None:
+        return None
+
+    def addresses(self) -> tuple[str, ...]:
+        return ()
+
     def close(self) -> None:
         pass
 
@@ -74,8 +85,9 @@
 class Share:
     """What the fleet's share means to the decisions. Kept apart: the lab has it without datagrams."""
 
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet = fleet
+    def __init__(self, fleet: Fleet, cap: Callable[[], float]) -> None:
+        """`cap`: calls that a start allows so far, beside the share."""
+        self.fleet, self.cap = fleet, cap
         self.desk: Desk | None = None
         self.told = -1
         self.wanted = 0.0
@@ -85,36 +97,41 @@
         from ..fleet import CALL
         in_hand, waiting = self.desk.calls() if self.desk is not None else (0, 0)
         self.wanted = max(float(in_hand + waiting), FADES * self.wanted)
-        self.fleet.uses(int(self.wanted * CALL), in_hand * CALL)
+        self.fleet.uses(int(min(self.wanted, self.cap()) * CALL), in_hand * CALL)
 
     def tell(self) -> None:
         """After one, and after each letter."""
         from ..fleet import CALL
-        share = self.fleet.share
+        share = min(self.fleet.share, int(min(self.cap(), 1e9) * CALL))
         if self.desk is not None and share != self.told:
             self.told = share
             self.desk.share_calls(max(NOTHING, share / CALL))
 
 
+def shares(fleet: Fleet) -> tuple[float, float]:
+    from ..fleet import CALL
+    return fleet.terms.equal(max(1, fleet.members.counted())) / CALL, fleet.share / CALL
+
+
 class Fleeted:
     """`sock`: bound, for datagrams."""
 
-    def __init__(self, part: FleetPart, sock: socket.socket, name: str, seed: int, tasks: Tasks) -> None:
+    def __init__(self, part: FleetPart, sock: socket.socket, name: str, seed: int, tasks: Tasks, recovery: Recovering) -> None:
         from .. import fleet
         from ..catalogue.spread import Pools
         self.of, self.part, self.sock, self.tasks, self.clock = fleet, part, sock, tasks, since_start
         host, port = sock.getsockname()
         self.address = f"{host}:{port}"
-        own = fleet.Word(name, part.advertise or self.address, time.time_ns() // MS, 0, fleet.State.ALIVE)
+        own = fleet.Word(name, part.advertise or self.address, recovery.life, 0, fleet.State.ALIVE)
         self.chance = Random(seed ^ own.life)
-        self.fleet = fleet.Fleet(own, tuple(part.seeds), part.keys(), part.terms(), part.habits(), self.chance, self.clock())
+        self.fleet = fleet.Fleet(own, (*part.seeds, *recovery.members), part.keys(), part.terms(), part.habits(), self.chance, self.clock())
         self.fleet.weight = int(part.weight * 1000)
-        self.share = Share(self.fleet)
+        self.share, self.recovery = Share(self.fleet, recovery.cap), recovery
         self.transport: asyncio.DatagramTransport | None = None
         self.turns = fleet.Turns()
         self.spread_over: tuple[str, ...] = ()
         self.pools: Pools | None = Pools(self.next, self.called) if part.services else None
-        self.looked_at = 0
+        self.looked_at = self.former = 0
         self.key_seen: float = 0.0
         self.spreading: asyncio.Task[None] | None = None
         self.exposed: Exposed | None = None
@@ -167,6 +184,9 @@
 
     def after(self, now: int) -> None:
         """What a tick or a letter has led to."""
+        if self.fleet.former != self.former:
+            self.former = self.fleet.former
+            self.recovery.peer(self.former)
         self.share.tell()
         self.flush()
         for move in self.fleet.moves:
@@ -248,6 +268,14 @@
         else:
             self.turns.reached(service)
 
+    # For our next life.
+
+    def equal(self) -> tuple[float, float] | None:
+        return shares(self.fleet)
+
+    def addresses(self) -> tuple[str, ...]:
+        return tuple(member.word.address for member in self.fleet.members.there() if member.word.name != self.fleet.own.name)
+
     # For operators.
 
     def write_state(self, now: int) -> None:
--- a/burlloom/server/parts.py
+++ b/burlloom/server/parts.py
@@ -20,12 +20,13 @@
 from .fleeting import Fleeted
 from .leveling import Leveled
 from .recording import Recorded
+from .recovering import Recovered
 
 if TYPE_CHECKING:
     from ..metrics import Exposed
     from .assembly import Server
 
-__all__ = ["Operator", "Refused", "fleeted", "leveled", "load_operator", "recorded", "spanned", "stale"]
+__all__ = ["Operator", "Refused", "fleeted", "leveled", "load_operator", "recorded", "recovered", "spanned", "stale"]
 
 CALLS_SPAN = 5 * SECOND
 
@@ -121,7 +122,7 @@
     sock.setblocking(False)
 
     def make(server: Server) -> Fleeted:
-        made = Fleeted(part, sock, orders.name, orders.seed, server.tasks)
+        made = Fleeted(part, sock, orders.name, orders.seed, server.tasks, server.recovery)
         if operator.metrics is not None:
             shown = next((one.exposed for one in (server.record, server.levels)
                           if isinstance(one, Recorded | Leveled) and one.exposed is not None), None)
@@ -132,6 +133,17 @@
     return make
 
 
+def recovered(operator: Operator, orders: Orders) -> Callable[[Server], Recovered] | None:
+    part, facts = operator.recovery, orders.facts
+    if part is None:
+        return None
+    terms = part.terms(max(product.window for product in facts.products))
+    lonely = operator.fleet is None and operator.record is None
+    alone = facts.calls_share or facts.crowd * facts.cores
+    file = Path(part.state_file) if part.state_file is not None else None
+    return lambda server: Recovered(terms, orders.name, server.clock, lambda: server.fleet, alone, lonely, file)
+
+
 def strain(keeper: Keeper, clock: Callable[[], int]) -> float:
     return keeper.budget.strain(clock())
 
--- a/burlloom/server/recording.py
+++ b/burlloom/server/recording.py
@@ -27,6 +27,7 @@
 
     recalls: bool
     looks: bool  # whether a retry that is not known here may be known to the record
+    life: int  # of this node in the store, from 1; -1 where there is none
     noted: str  # what this node's last life left to this one
 
     async def open(self) -> None: ...
@@ -46,6 +47,7 @@
     """Memory's marks alone: every run begins at once."""
 
     recalls = looks = False
+    life = -1
     noted = ""
 
     def __init__(self, execute: Callable[[str], None]) -> None:
@@ -100,7 +102,7 @@
         self.exposed: "Exposed | None" = None
         self.desk: Desk | None = None
         self.former = Packed()
-        self.noted = ""
+        self.noted, self.life = "", -1
 
     def note(self, text: str) -> None:
         self.keeper.store.note(text)
@@ -112,7 +114,7 @@
             opened = await self.keeper.open()
         except Refused as error:
             raise Broken(str(error)) from error
-        self.noted = self.keeper.noted
+        self.noted, self.life = self.keeper.noted, self.keeper.life
         self.former = Packed(chain.from_iterable(self.keeper.read_back()))
         await self.keeper.start()
         log.info("event=record-open node=%s life=%d shift_ms=%d migrated=%s marks=%d begun=%d ms=%d", opened.node,
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -39,7 +39,7 @@
             self.operator = {"fleet": {
                 "listen": "127.0.0.1:0", "advertise": door, "key_file": str(self.fleet.key), "least": self.fleet.least,
                 "seeds": [one for name, one in self.fleet.doors.items() if name != self.name][:4], "calls": self.fleet.calls,
-                "state_file": str(self.folder / "state"), **QUICK, **self.fleet.part}}
+                "state_file": str(self.folder / "state"), **QUICK, **self.fleet.part}, **self.fleet.more(self.folder)}
         await self.__aenter__()
         self.tasks.append(asyncio.create_task(self.work()))
         return self
@@ -102,9 +102,9 @@
     others."""
 
     def __init__(self, folder: Path, calls: float, alone: float, least: int, services: int = 1, on: bool = True,
-                 call_s: float = 0.1, **part: Any) -> None:
+                 call_s: float = 0.1, more: Callable[[Path], dict[str, Any]] = lambda folder: {}, **part: Any) -> None:
         self.folder, self.calls, self.alone, self.least, self.on, self.part = folder, calls, alone, least, on, part
-        self.call_s = call_s
+        self.call_s, self.more = call_s, more  # further parts of the operator's file, for a server's folder
         self.services = [Catalogue(self.reply) for _ in range(services)]
         self.relay, self.doors, self.servers = Relay(), dict[str, str](), list[Server]()
         self.key = folder / "key"
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,246 @@
+"""Coming back: what a life left is judged, the ramp is bounded, retries are held, nothing is run twice. Processes at the end."""
+
+import asyncio
+import re
+import shutil
+import signal
+from dataclasses import replace
+from itertools import product
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from fleet_rig import Fleet, Server
+from rig import Rig, fails, gets, played, until
+from test_fleet_processes import fleet, full, within
+
+from burlloom.recovery import Input, Kept, Ramp, Recovery, Retries, Start, State, Terms, Verdict, judge, read, write
+from burlloom.recovery.ramp import Input as Push
+from burlloom.recovery.start import RULES
+from burlloom.standins.parts import fields
+
+MS = 1_000_000
+KEPT = Kept("n1", 1000, 5000, 3, 6.5, False, ("10.0.0.1:1", "10.0.0.2:1"))
+
+
+def test_what_was_kept_is_read_whole_or_not_at_all() -> None:
+    text, chance = write(KEPT), Random(1)
+    assert read(text) == KEPT and read(None) is Verdict.MISSING
+    for cut in range(len(text) - 1):
+        assert read(text[:cut]) is Verdict.TORN
+    for _ in range(20_000):
+        at = chance.randrange(len(text))
+        spoilt = text[:at] + chr(chance.randrange(32, 127)) + text[at + 1:]
+        assert read(spoilt) in (KEPT, Verdict.TORN) and (read(spoilt) is Verdict.TORN or spoilt.split() == text.split())
+    for text in ("", "null", "[]", "{}", "[" * 9000, '{"kept": 5, "sum": "x"}'):
+        assert read(text) is Verdict.TORN
+    for told, now, verdict in ((KEPT, 6000, Verdict.GOOD), (replace(KEPT, node="n2"), 6000, Verdict.FOREIGN), (KEPT, 4999, Verdict.FUTURE), (KEPT, 99_000, Verdict.OLD)):
+        assert judge(told, "n1", now, 60_000) is verdict
+
+
+def test_the_start_walked_whole() -> None:
+    """Every sequence of what may be told: what is kept is used only where nothing spoke against it, and the fence
+    stands wherever a life is known whose marks may be lost."""
+    met = set()
+    for lonely, clean in product((False, True), repeat=2):
+        for told in product(Input, repeat=4):
+            start = Start(lonely, clean, 100)
+            for at, what in enumerate(told):
+                met.add((start.state, what))
+                start.meet(what, at)
+            against = {Input.SAID_LATER, Input.SAID_EARLIER}
+            if start.used:
+                assert start.state is State.WARM and told[0] is Input.KEPT_GOOD or Input.KEPT_GOOD in told
+                after = told[told.index(Input.KEPT_GOOD):]
+                assert not against & set(after), told
+            if told[0] is Input.KEPT_GOOD and (not clean or against & set(told[1:])):
+                assert start.fenced_until >= 100, told
+            if told[0] is Input.KEPT_BAD or told[0] is Input.KEPT_NONE and Input.SAID_LIVED in told:
+                assert start.fenced_until >= 100, told
+            if told[0] is Input.KEPT_GOOD and clean and not (against | {Input.SAID_LIVED}) & set(told):
+                assert not start.fenced_until
+    assert met >= set(RULES)
+
+
+def test_the_ramp_is_bounded_whatever_comes() -> None:
+    """All histories of 11 steps: never past twice for each step, never under the least, never up after a push in a step."""
+    highest = [0.0] * 12
+    for told in product(Push, repeat=11):
+        ramp = Ramp(2.0, 1.0, 100, 0)
+        for at, what in enumerate(told, 1):
+            before = ramp.cap
+            ramp.round(at * 100, what, 64.0)
+            if not ramp.full:
+                highest[at] = max(highest[at], ramp.cap)
+                assert 1.0 <= ramp.cap <= 2.0 * 2 ** at
+                assert ramp.cap <= before or what is Push.WELL
+            else:
+                assert before >= 64.0 or before == float("inf")
+    assert highest[5] == 64.0
+
+
+def test_retries_are_a_part_of_first_tries() -> None:
+    budget, taken = Retries(0.2, 2.0, 2_000_000_000), [0, 0]
+    for ms in range(0, 20_000, 10):
+        taken[0] += 1
+        budget.over(ms * MS, False)
+        for _ in range(5):
+            taken[1] += not budget.over(ms * MS, True)
+    assert 0.2 * taken[0] <= taken[1] <= 0.25 * taken[0] + 50
+    quiet = Retries(0.2, 2.0, 2_000_000_000)
+    assert [quiet.over(0, True) for _ in range(6)] == [False] * 4 + [True] * 2
+    assert not quiet.over(4_000_000_000, True)
+
+
+def test_a_recovery_as_a_whole() -> None:
+    def begun(found: Kept | Verdict, lonely: bool = False) -> Recovery:
+        return Recovery(Terms(window=18_000 * MS), found, "n1", 0, 6000, lonely)
+    warm, cold = begun(KEPT), begun(Verdict.MISSING)
+    for one in (warm, cold):
+        assert one.cap == 0 and one.round(0, 10.0, 0.0) and one.cap == 1.0
+    warm.store(4, 0)
+    assert warm.round(10 * MS, 10.0, 10.0) and warm.cap == 3.25  # half of what it held
+    cold.store(1, 0)
+    assert not cold.fenced(1) and warm.fenced(17_999 * MS) and not warm.fenced(18_001 * MS)
+    for lost in (3, 1):  # the store counts us as a life that we had before
+        again = begun(KEPT)
+        again.store(lost, 0)
+        again.round(0, 10.0, 0.0)
+        again.round(10 * MS, 10.0, 10.0)
+        assert again.cap == 1.0 and again.start.state is State.COLD
+    cold.peer(900, 5)
+    assert cold.fenced(18_000 * MS) and not cold.fenced(18_006 * MS)
+    silent = begun(KEPT)
+    silent.round(0, 10.0, 0.0)
+    silent.round(2000 * MS, 10.0, 10.0)
+    assert silent.start.state is State.COLD and begun(KEPT, True).start.state is State.ASKING
+    at = 0
+    while not cold.over:
+        at += 500
+        for _ in range(5):
+            cold.called(True)
+        cold.round(at * MS, 10.0, 10.0)
+    assert at <= 3000 and cold.cap == float("inf") and not cold.holds_back(at * MS, True)
+
+
+# On processes.
+
+def coming_back(folder: Path) -> dict[str, Any]:
+    return {"recovery": {"state_file": str(folder / "kept"), "step_ms": 200, "ask_ms": 1500}}
+
+
+def life(server: Server) -> list[str]:
+    """What this life's start said."""
+    return re.findall(r"event=recovery-start (.*)", server.log().rsplit("event=recovery ", 1)[-1])
+
+
+@fleet(5, calls=30, more=coming_back)
+async def test_most_are_killed_at_once_with_their_state_lost(made: Fleet) -> None:
+    """Four of five: one's file torn, one's gone, one's put back from an older life, one's as it was."""
+    await made.settles(full(made))
+    older = made.servers[3]
+    shutil.copy(older.folder / "kept", older.folder / "older")
+    await older.kill()
+    await older.begin()
+    await made.settles(full(made))
+    await asyncio.sleep(1.1)  # each has written its file
+    killed = made.servers[1:]
+    made.again()
+    await asyncio.gather(*(server.kill() for server in killed))
+    torn, gone, older, whole = killed[0], killed[1], made.servers[3], made.servers[4]
+    text = (torn.folder / "kept").read_text()
+    (torn.folder / "kept").write_text(text[:len(text) // 2])
+    (gone.folder / "kept").unlink()
+    shutil.copy(older.folder / "older", older.folder / "kept")
+    await asyncio.gather(*(server.begin() for server in killed))
+    await until(lambda: all("event=recovery-cap" in server.log().rsplit("event=recovery ", 1)[-1] for server in killed))
+    assert made.worst <= 1.05 * made.calls
+    for _ in range(40):
+        await asyncio.sleep(0.25)
+        if made.mean >= 0.95 * made.calls:
+            break
+        assert made.worst <= 1.05 * made.calls
+        made.again()
+    await made.settles(full(made))
+    await until(lambda: all("event=recovery-over" in server.log().rsplit("event=recovery ", 1)[-1] for server in killed))
+    assert "kept=torn" in torn.log() and any("input=kept_bad effect=fence state=cold" in said for said in life(torn))
+    assert any("input=said_lived effect=fence state=cold" in said for said in life(gone)), life(gone)
+    assert any("input=said_later effect=fence state=cold" in said for said in life(older)), life(older)
+    assert any("input=said_same effect=use state=warm" in said for said in life(whole)), life(whole)
+
+
+@fleet(3, calls=24, more=coming_back)
+async def test_retries_are_held_and_not_amplified(made: Fleet) -> None:
+    """Callers that try again at once and without end, marked: what is read of them is bounded until service is back."""
+    await made.settles(full(made))
+    server = made.servers[1]
+    await server.kill()
+    server.open_most = 0
+    await server.begin()
+    balancer, ran = await server.balancer(), len(server.executor.bodies)
+    for _ in range(200):
+        balancer.ask("look", fields(retry="1"))
+    first = balancer.ask("look", fields())
+    await asyncio.wait_for(first, 5)
+    await until(lambda: balancer.answers >= 150)
+    # A few a second and a fifth of the first tries: of 200 in a moment hardly any had to wait for a run.
+    assert len(server.executor.bodies) < ran + 40
+    server.open_most = 20
+    await until(lambda: "event=recovery-over" in server.log().rsplit("event=recovery ", 1)[-1])
+    await made.settles(full(made))
+    held = re.findall(r"event=recovery-over .*held_back=(\d+)", server.log())[-1]
+    assert int(held) >= 150
+
+
+@played(operator=lambda folder: {"record": {"sqlite": {"path": str(folder / "record.db")}}, **coming_back(folder)}, n_cores=4)
+async def test_a_lost_record_is_not_taken_for_a_new_one(rig: Rig) -> None:
+    """A charge ran; the store that knows is gone: its retry is voided, not run again. With the store it is settled."""
+    async def charge(key: str) -> dict[str, str]:
+        told = fields(once=key)
+        answer = (await rig.balancer()).ask("pay", told, b"charge")
+        rig.executor.exit(await rig.command("EXEC", "pay"), result=b"receipt")
+        await gets(answer, b"receipt")
+        return {**told, "retry": "1"}
+
+    async def again(told: dict[str, str]) -> Any:
+        return (await rig.balancer()).ask("pay", {**told, "id": fields()["id"]}, b"charge")
+    told = await charge("k1")
+    await until(lambda: (rig.folder / "kept").exists())
+    await rig.kill()
+    await rig.begin()
+    await gets(await again(told), b"receipt")
+    assert "input=said_same effect=use state=warm" in rig.log()
+    await asyncio.sleep(1.1)
+    await rig.kill()
+    for path in rig.folder.glob("record.db*"):
+        path.unlink()
+    await rig.begin()
+    await until(lambda: "input=said_earlier effect=fence state=cold" in rig.log())
+    await fails(await again(told), "Voided")
+    other = (await rig.balancer()).ask("pay", fields(once="k2"), b"charge")  # a first try is as good as ever
+    rig.executor.exit(await rig.command("EXEC", "pay"), result=b"second")
+    await gets(other, b"second")
+    assert rig.executor.commands.empty()
+
+
+@played(operator=coming_back, n_cores=4)
+async def test_without_a_record_a_crash_leaves_doubt_and_a_drain_none(rig: Rig) -> None:
+    told = fields(once="k1")
+    answer = (await rig.balancer()).ask("pay", told, b"charge")
+    rig.executor.exit(await rig.command("EXEC", "pay"), result=b"receipt")
+    await gets(answer, b"receipt")
+    await until(lambda: (rig.folder / "kept").exists())
+    await rig.kill()
+    await rig.begin()
+    again = {**told, "retry": "1", "id": fields()["id"]}
+    await fails((await rig.balancer()).ask("pay", again, b"charge"), "Voided")
+    assert rig.executor.commands.empty()
+    rig.process.send_signal(signal.SIGTERM)
+    for balancer in rig.balancers:
+        balancer.close()
+    assert await asyncio.wait_for(rig.process.wait(), 20) == 0
+    rig.balancers.clear()
+    await rig.begin()
+    new = (await rig.balancer()).ask("pay", fields(once="k2", retry="1"), b"charge")
+    rig.executor.exit(await rig.command("EXEC", "pay"), result=b"taken")
+    await gets(new, b"taken")
