Fleet: who deals is found in a second after a mass restart; all count the same fleet before it begins

Seen in the lab, 27 of 30 killed and back: no calls for 2.5 s. The trace: members new to the fleet reported to whoever they saw first, waited three rounds for an answer that never came, and took no raise for as long as that report counted. Now one that does not deal says who does, one that changes has itself untied, views are compared each 200 ms, members knock at the doors of the dead each probe.

--- a/burlloom/fleet/deal.py
+++ b/burlloom/fleet/deal.py
@@ -106,12 +106,13 @@
 
 class Told(NamedTuple):
     """A report, thousandths of a call: `held` is the share in force, or what is in hand where that is more;
-    `want` is what could be used."""
+    `want` is what could be used. `roster`: equal where two members count the same fleet."""
 
     held: int
     share: int
     want: int
     weight: int
+    roster: int = 0
 
 
 @dataclass(slots=True)
@@ -147,14 +148,14 @@
         self.hurried = False  # somebody wants far more than when we last dealt
         self.accounts: dict[str, Account] = {}
         self.fleet: Mapping[str, Present] = {}
-        self.is_first = False
+        self.is_first, self.roster = False, 0
         self.turns = 0
 
     # What the member calls.
 
-    def round(self, now: int, fleet: Mapping[str, Present], first: bool, gap: bool = False) -> None:
-        """`fleet`: all that may hold something, by name. `gap`: nothing was done here for long."""
-        self.fleet, self.is_first = fleet, first
+    def round(self, now: int, fleet: Mapping[str, Present], first: bool, gap: bool = False, roster: int = 0) -> None:
+        """`fleet`: all that may hold something, by name; `roster`: as in a report. `gap`: nothing was done here for long."""
+        self.fleet, self.is_first, self.roster = fleet, first, roster
         if self.many(now):
             self.many_at = now
         for name, account in list(self.accounts.items()):
@@ -169,6 +170,7 @@
             return None
         if account is None or account.life < life:
             account = self.accounts[name] = Account(life, number, now, told, told.held)
+            self.hurried = True
         elif account.life > life or number <= account.number:
             return None  # played again, or overtaken
         else:
@@ -178,6 +180,16 @@
         account.bound = max(told.held, grant)
         return grant
 
+    def disown(self, name: str, life: int, number: int) -> None:
+        """It may be raised by another from now on, and does not count as one that reports to us until it does anew;
+        a report up to that number that is still on its way does not change that."""
+        account = self.accounts.get(name)
+        if account is None or account.life < life:
+            account = self.accounts[name] = Account(life, number, 0, Told(0, 0, 0, 1), 0)
+        if account.life == life:
+            account.number = max(account.number, number)
+            account.at = min(account.at, self.since - 2 * self.terms.fresh)
+
     # Within.
 
     def grant(self, now: int, account: Account) -> int:
@@ -239,8 +251,13 @@
     def learned(self, now: int) -> bool:
         if not self.many(now):
             return False
-        known = [name for name, account in self.accounts.items() if account.at >= self.since and name in self.fleet]
-        return len(known) >= self.size() and now - self.since >= self.terms.fresh or now - self.since >= self.terms.learns
+        # Who all count the same fleet as we do leave nobody out who holds something that one of them granted.
+        known = [name for name, account in self.accounts.items()
+                 if account.at >= self.since and name in self.fleet and account.told.roster == self.roster]
+        # Where all are new, those who lived on, if any, may not have found us yet: they knock twice meanwhile.
+        old = any(self.accounts[name].told.share for name in known)
+        least = 3 * self.terms.round if old else self.terms.fresh
+        return len(known) >= self.size() and now - self.since >= least or now - self.since >= self.terms.learns
 
     # Effects.
 
@@ -257,7 +274,7 @@
     def deal(self, now: int) -> None:
         """New targets once a turn, for those who report; what the others are bound by is not there to be
         dealt."""
-        if now - self.turned < (self.terms.turn // 4 if self.hurried else self.terms.turn):
+        if now - self.turned < (self.terms.turn // 8 if self.hurried else self.terms.turn):
             return
         self.turned, self.hurried = now, False
         self.turns += 1
--- a/burlloom/fleet/fleet.py
+++ b/burlloom/fleet/fleet.py
@@ -17,8 +17,10 @@
 
 NEWS_MOST, PAGE_WORDS = 6, 10  # words of others on a letter; on a page of a view
 MEMBERS_MOST = 1000  # that a view holds; a fleet is some hundreds
+WATCH = 2  # rounds that a new member looks around before it reports
 RESEND = 3  # rounds that a report's grant is waited for
 GAP_ROUNDS = 5  # without a tick: our own process stood still
+KNOCKS = 4  # at once
 FORMER_TIMES = 4  # that one is told of its life before: letters are lost
 OUT_MOST = 4096  # letters that wait for the host
 
@@ -27,15 +29,13 @@
 class Habits:
     """Of the membership, ns. `probe`: between probes of one member after the other; `ack`: until others are
     asked to ask it; `suspicion`: for refuting; `forget`: until one that is over leaves the view, and only
-    where most are there; `others`: how many are asked. `revive`: each so many probes one goes to a dead
-    member, or to an address that we were given, so that a cut that heals is noticed."""
+    where most are there; `others`: how many are asked."""
 
     probe: int = 500 * MS
     ack: int = 200 * MS
     suspicion: int = 2000 * MS
     forget: int = 3_600_000 * MS
     others: int = 3
-    revive: int = 4
 
     def faults(self) -> list[str]:
         if self.ack >= self.probe:
@@ -93,16 +93,18 @@
         self.probe: Probe | None = None
         self.errands: dict[int, Errand] = {}
         self.probed = self.rounded = self.synced = now - 3600 * 1000 * MS
-        self.probes = 0
         self.last = now
         self.wants = self.in_hand = 0
         self.weight = 1000
         self.dealt_by = ""
         self.switched = now - 3600 * 1000 * MS
-        self.report_number, self.report_at, self.asked_of = -1, now, ""
+        self.report_number, self.report_at, self.asked_of, self.born = -1, now, "", now
+        self.roster = 0
         self.former = 0  # the latest life of our name before this one that others knew, Unix ms
         self.formers: dict[str, tuple[int, int]] = {}  # who was started again: the life before, and how often it is told
         self.seen, self.first, self.present = -1, own, dict[str, Present]()
+        self.report_last, self.tied = -1, ("", -1)  # our last report to another; who may count us still, and by which
+        self.counted = False  # whether the one that we last reported to may count us among those who do
         self.strangers = 0  # members whose terms are not ours
 
     @property
@@ -177,32 +179,48 @@
             # Who hears few does not forget: the majority may be on the other side.
             if what is not Input.OLD or self.mostly_there():
                 members.meet(now, name, what)
-        if self.seen != members.version:
-            self.seen = members.version
-            self.first = members.first()
-            self.present = {member.word.name: Present(member.word.life, member.there, member.since)
-                            for member in members if member.state is not State.LEFT}
+        self.look()
         before, first = holder.state, self.first
         holder.round(now, len(self.present), gap > self.terms.cut)
         self.counts.lapses += before is Held.HOLDING and holder.state is not Held.HOLDING
-        self.dealer.round(now, self.present, first.name == self.own.name, gap > self.terms.lease)
+        self.dealer.round(now, self.present, first.name == self.own.name, gap > self.terms.lease, self.roster)
         if first.name != self.dealt_by:
-            if self.dealt_by:
+            if self.dealt_by == self.own.name:
+                self.dealer.disown(self.own.name, self.own.life, self.number)
+            elif self.counted:
                 self.switched = now
+                self.tied = self.dealt_by, self.report_last
+            self.counted = False
             self.dealt_by = first.name
             self.counts.dealers += 1
+        if now - self.switched >= self.terms.fresh:
+            self.tied = "", -1
+        elif self.tied[0] in members.by_name:
+            self.send(members.by_name[self.tied[0]].word.address, Kind.UNTIE, self.tied[1])
+        if now - self.born < WATCH * self.terms.round and not self.dealt_by == self.own.name:
+            return  # who deals is not known yet; one that is reported to by mistake may count us for a while
         if self.report_number >= 0 and now - self.report_at < RESEND * self.terms.round and first.name == self.asked_of:
             return  # its grant may still be on its way, and holds only on the newest report
         self.number += 1
         self.report_number, self.report_at, self.asked_of = self.number, now, first.name
-        told = Told(max(holder.share, self.in_hand), holder.share, self.wants, self.weight)
+        told = Told(max(holder.share, self.in_hand), holder.share, self.wants, self.weight, self.roster)
         if first.name == self.own.name:
             grant = self.dealer.report(now, self.own.name, self.own.life, self.number, told)
             if grant is not None:
                 self.granted(now, grant, self.dealer.sure(now))
         else:
+            self.counted, self.report_last = True, self.number
             self.send(first.address, Kind.REPORT, self.number, tuple(told))
 
+    def look(self) -> None:
+        """What the dealing is told of the view, where that changed."""
+        if self.seen != self.members.version:
+            self.seen = self.members.version
+            self.first = self.members.first()
+            self.roster = self.members.roster()
+            self.present = {member.word.name: Present(member.word.life, member.there, member.since)
+                            for member in self.members if member.state is not State.LEFT}
+
     def granted(self, now: int, share: int, sure: bool) -> None:
         self.report_number = -1
         if now - self.switched < self.terms.fresh:
@@ -227,9 +245,7 @@
             self.members.meet(now, probe.name, Input.SILENT)
             self.probe = None
         self.probed = now
-        self.probes += 1
-        if self.probes % habits.revive == 1 % habits.revive or len(self.members.there()) == 1:
-            self.knock()
+        self.knock()
         name = self.next_name()
         if name is not None:
             self.number += 1
@@ -258,13 +274,14 @@
         return self.terms.total * 1009 + self.terms.lease // MS * 31 + self.terms.redeal // MS + self.terms.cut // MS * 7
 
     def knock(self) -> None:
-        """At the door of one that is dead, or of an address where nobody is known."""
+        """At the doors of some that are dead, and of addresses where nobody is known: so a cut that heals is noticed, and
+        those who were all started anew hear of the ones that lived on before they deal among themselves."""
         known = {member.word.address for member in self.members.there()}
         dead = [member.word.address for member in self.members if member.state is State.DEAD]
-        doors = [address for address in (*self.seeds, *dead) if address not in known]
-        if doors:
+        doors = [address for address in {*self.seeds, *dead} if address not in known]
+        for door in self.chance.sample(sorted(doors), min(KNOCKS, len(doors))):
             self.number += 1
-            self.send(self.chance.choice(doors), Kind.PING, self.number, self.views())
+            self.send(door, Kind.PING, self.number, self.views())
 
     # What comes.
 
@@ -310,7 +327,7 @@
         if len(letter.numbers) != 2:
             return
         self.strangers += letter.numbers[1] != self.terms_digest()
-        if letter.numbers[0] != self.members.digest >> 1 and now - self.synced >= self.habits.probe:
+        if letter.numbers[0] != self.members.digest >> 1 and now - self.synced >= self.habits.ack:
             self.synced = now
             self.send(letter.sender.address, Kind.SYNC, letter.number)
 
@@ -328,17 +345,34 @@
             self.send(letter.sender.address, Kind.SYNC, letter.number, name=letter.name)
 
     def reported_to(self, now: int, letter: Letter) -> None:
-        if len(letter.numbers) != 4:
+        if len(letter.numbers) != 5:
             return
         sender = letter.sender
+        if sender.name not in self.dealer.fleet:
+            self.look()
+            self.dealer.fleet = self.present  # one that came since the last round
         grant = self.dealer.report(now, sender.name, sender.life, letter.number, Told(*letter.numbers))
-        if grant is not None:
+        if grant is None and self.first.name != self.own.name and self.seen >= 0:
+            self.dealer.disown(sender.name, sender.life, letter.number)
+            self.post(sender.address, Letter(Kind.ELSEWHERE, self.own, letter.number, (), "", (self.first,)))
+        elif grant is not None:
             self.send(sender.address, Kind.GRANT, letter.number, (grant, int(self.dealer.sure(now))), about=sender.name)
 
     def grant_came(self, now: int, letter: Letter) -> None:
         if (letter.sender.name == self.dealt_by and letter.number == self.report_number and len(letter.numbers) == 2):
             self.granted(now, letter.numbers[0], letter.numbers[1] == 1)
 
+    def sent_elsewhere(self, now: int, letter: Letter) -> None:
+        if letter.sender.name == self.asked_of and letter.number == self.report_number:
+            self.report_number, self.counted = -1, False
+            self.rounded = now - self.terms.round  # the next tick looks at who deals, and reports
+        if (letter.sender.name, letter.number) == self.tied:
+            self.tied, self.switched = ("", -1), now - self.terms.fresh
+
+    def untied(self, now: int, letter: Letter) -> None:
+        self.dealer.disown(letter.sender.name, letter.sender.life, letter.number)
+        self.post(letter.sender.address, Letter(Kind.ELSEWHERE, self.own, letter.number, (), "", (self.first,)))
+
     def said_bye(self, now: int, letter: Letter) -> None:
         pass  # its own word, which goes with each letter, has said it
 
@@ -391,7 +425,8 @@
 
 HEARD = {Kind.PING: Fleet.pinged, Kind.ACK: Fleet.acked, Kind.ASK: Fleet.asked, Kind.SYNC: Fleet.synced_by,
          Kind.PAGE: Fleet.paged, Kind.REPORT: Fleet.reported_to, Kind.GRANT: Fleet.grant_came,
-         Kind.BYE: Fleet.said_bye, Kind.FORMER: Fleet.former_told}
+         Kind.BYE: Fleet.said_bye, Kind.FORMER: Fleet.former_told,
+         Kind.ELSEWHERE: Fleet.sent_elsewhere, Kind.UNTIE: Fleet.untied}
 
 
 def summary(fleet: Fleet, now: int) -> Mapping[str, object]:
--- a/burlloom/fleet/letters.py
+++ b/burlloom/fleet/letters.py
@@ -19,7 +19,7 @@
 VERSION = 1
 TAG = 16
 LETTER_MOST = 1400  # bytes; fits a frame of Ethernet
-WORDS_MOST, NUMBERS_MOST, NAME_MOST = 10, 4, 64  # the longest name in bytes; a full page fits
+WORDS_MOST, NUMBERS_MOST, NAME_MOST = 10, 5, 64  # the longest name in bytes; a full page fits
 NUMBER_MOST = (1 << 63) - 1
 KEY_LEAST = 16
 
@@ -30,10 +30,12 @@
     ASK = 2  # ping the one that is named, and pass on its ACK
     SYNC = 3  # send a page of your view, from after that name
     PAGE = 4  # words of it, and the name to go on from; empty: that was all
-    REPORT = 5  # to who deals: held and wanted, in thousandths of a call; weight
+    REPORT = 5  # to who deals: held, share, wanted, in thousandths of a call; weight; roster
     GRANT = 6  # to the REPORT of that number: the share, and 1 where half of the fleet reports to us
     BYE = 7  # our own word says that we left
     FORMER = 8  # to one that was started again: the life of its name that we knew, which did not say that it left
+    ELSEWHERE = 9  # to the REPORT of that number: we don't deal; the word of who does, as we see it, goes with it
+    UNTIE = 10  # we report to another now, and that was our last REPORT to you: don't count us; ELSEWHERE answers
 
 
 class Letter(NamedTuple):
--- a/burlloom/fleet/members.py
+++ b/burlloom/fleet/members.py
@@ -188,6 +188,14 @@
 
     # What the view shows.
 
+    def roster(self) -> int:
+        """Equal where two views count the same lives of the same members, whatever state they think them in."""
+        total = 0
+        for member in self:
+            if member.state is not State.LEFT:
+                total ^= hash_of(member.word._replace(incarnation=0, state=State.ALIVE))
+        return total >> 1
+
     def there(self) -> list[Member]:
         return [member for member in self if member.there]
 
--- a/burlloom/operator/recovery.py
+++ b/burlloom/operator/recovery.py
@@ -26,7 +26,7 @@
 
     state_file: str | None = None
     step_ms: Span = 500
-    begin: Share = 0.1
+    begin: Share = 0.25
     begin_warm: Share = 0.5
     ask_ms: Span = 2000
     age_ms: Span = 600_000
--- a/burlloom/recovery/recovery.py
+++ b/burlloom/recovery/recovery.py
@@ -21,7 +21,7 @@
 
     window: int
     step: int = 500 * MS
-    begin: float = 0.1
+    begin: float = 0.25
     begin_warm: float = 0.5
     least: float = 1.0
     ask: int = 2000 * MS
--- a/burlloom/server/recovering.py
+++ b/burlloom/server/recovering.py
@@ -144,7 +144,7 @@
         if self.recovery.over and self.holding:
             self.holding = False
             self.desk.hold_back(False)
-            log.info("event=recovery-over ms=%d held_back=%d", (now - self.recovery.began) // MS, self.recovery.retries.refused)
+            log.warning("event=recovery-over ms=%d held_back=%d", (now - self.recovery.began) // MS, self.recovery.retries.refused)
         self.say()
         if now - self.told_at >= TELL_EVERY and not self.closed:
             self.told_at = now
@@ -152,7 +152,7 @@
 
     def say(self) -> None:
         for what, effect in self.recovery.effects:
-            # A few a life, in the very moment in which lines by the hundred are left out.
+            # A few a life, in the very moment in which info lines are left out by the hundred.
             log.warning("event=recovery-start input=%s effect=%s state=%s", what, effect, self.recovery.start.state.name.lower())
         self.recovery.effects = []
 
