Desk: a txn that was over before its first pick keeps its answer

Seen: a KeyError in Desk.pick in one of six plays of the test with 200 retries in a moment, and the txn voided that had been declined. Cause: take() leaves a step for the coroutine, and where hundreds are read in one turn of the loop a timer round (beat, Choice.clear) comes before that coroutine's first pick and releases its index; pick looked it up by id.

--- a/burlloom/desk/__init__.py
+++ b/burlloom/desk/__init__.py
@@ -1,7 +1,7 @@
 """The decisions in blocking style, for a server on sockets: plain txns in, plain steps out."""
 
-from .desk import Desk
+from .desk import Desk, Seat
 from .marks import Packed
 from .steps import AtCall, CallEnded, Kind, Leaving, Recalled, RunEnded, Step, Try
 
-__all__ = ["AtCall", "CallEnded", "Desk", "Kind", "Leaving", "Packed", "Recalled", "RunEnded", "Step", "Try"]
+__all__ = ["AtCall", "CallEnded", "Desk", "Kind", "Leaving", "Packed", "Recalled", "RunEnded", "Seat", "Step", "Try"]
--- a/burlloom/desk/desk.py
+++ b/burlloom/desk/desk.py
@@ -78,17 +78,18 @@
     def knows(self, id: str) -> bool:
         return id in self.refs
 
-    def take(self, txn: Try) -> Step | None:
-        """Reads a txn. Most that are not held or run are over at once: those cost no coroutine."""
+    def take(self, txn: Try) -> Step | Seat:
+        """Reads a txn. Most that are not held or run are over at once: those cost no coroutine. Else its seat, for
+        `pick`."""
         seat = self.admit(txn)
         if not self.handing and len(self.outbox) == 1 and self.outbox[0][0] is seat and seat.answered:
             return self.outbox.popleft()[1]
         self.flush()
-        return None
+        return seat
 
-    async def pick(self, id: str) -> Step:
-        """The next step of this txn."""
-        seat = self.seats[self.refs[id]]
+    async def pick(self, seat: Seat) -> Step:
+        """The next step of this txn. Its index may be released by then: where hundreds are read in one turn of the
+        loop, a timer round comes between a txn's reading and its first `pick`."""
         while not seat.steps:
             seat.waiter = self.loop.create_future()
             await seat.waiter
--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 
 from ..catalogue import Answer, Pool
-from ..desk import AtCall, CallEnded, Desk, Kind, Leaving, Recalled, RunEnded, Step, Try
+from ..desk import AtCall, CallEnded, Desk, Kind, Leaving, Recalled, RunEnded, Seat, Step, Try
 from ..executor import End, Link
 from ..facts import gauges
 from ..interface import Gauges, Outcome, Repeatable
@@ -170,20 +170,20 @@
             self.record.answered(asked.id)
             return
         step = desk.take(tried)
-        if step is not None:
+        if isinstance(step, Step):
             answer(asked, step)
             self.record.answered(asked.id)
             return
         self.serving[asked.id] = asked
-        self.tasks.start(self.serve(desk, asked), "txn")
+        self.tasks.start(self.serve(desk, asked, step), "txn")
 
-    async def serve(self, desk: Desk, asked: Asked) -> None:
+    async def serve(self, desk: Desk, asked: Asked, seat: Seat) -> None:
         below: asyncio.Task[None] | None = None
         answered = False
         product = self.product[asked.product]
         try:
             while not answered:
-                step = await desk.pick(asked.id)
+                step = await desk.pick(seat)
                 match step.kind:
                     case Kind.RUN:
                         self.record.begin(step.mark, asked.id, asked.at, product)
--- a/burlloom/server/fleeting.py
+++ b/burlloom/server/fleeting.py
@@ -304,6 +304,7 @@
         self.flush()
         if self.transport is not None:
             self.transport.close()
+            self.transport = None  # a tick may follow, and has nothing to say any more
         if self.exposed is not None:
             self.exposed.close()
         log.info("event=fleet-closed %s", " ".join(f"{name}={count}" for name, count in asdict(self.fleet.counts).items()))
