--- a/burlloom/command/root.py
+++ b/burlloom/command/root.py
@@ -1,4 +1,4 @@
-"""`burlloom serve|check|demo|fleet|lab|levels|record ...`."""
+"""`burlloom serve|check|demo|fleet|lab|levels|record|recovery ...`."""
 
 import os
 import sys
@@ -10,6 +10,7 @@
 from .lab import lab
 from .levels import levels
 from .record import record
+from .recovery import recovery
 from .shared import OPERATOR, operator_option
 
 
@@ -89,3 +90,4 @@
 main.add_command(lab)
 main.add_command(levels)
 main.add_command(record)
+main.add_command(recovery)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,9 +1,13 @@
 """Coming back: what a life left is judged, the ramp is bounded, retries are held, nothing is run twice. Processes at the end."""
 
 import asyncio
+import json
 import re
 import shutil
 import signal
+import subprocess
+import sys
+import time
 from dataclasses import replace
 from itertools import product
 from pathlib import Path
@@ -11,8 +15,9 @@
 from typing import Any
 
 from fleet_rig import Fleet, Server
-from rig import Rig, fails, gets, played, until
-from test_fleet_processes import fleet, full, within
+from rig import ROOT, Rig, fails, gets, played, until
+from test_command import burlloom
+from test_fleet_processes import fleet, full
 
 from burlloom.recovery import Input, Kept, Ramp, Recovery, Retries, Start, State, Terms, Verdict, judge, read, write
 from burlloom.recovery.ramp import Input as Push
@@ -244,3 +249,27 @@
     new = (await rig.balancer()).ask("pay", fields(once="k2", retry="1"), b"charge")
     rig.executor.exit(await rig.command("EXEC", "pay"), result=b"taken")
     await gets(new, b"taken")
+
+
+def test_what_was_left_is_shown(tmp_path: Path) -> None:
+    path, kept = tmp_path / "operator.jsonnet", tmp_path / "kept"
+    path.write_text(json.dumps({"recovery": {"state_file": str(kept)}}))
+    kept.write_text(write(replace(KEPT, told_at=time.time_ns() // MS - 2000)))
+    said = burlloom("recovery", "show", "-o", path)
+    assert "n1: life 1000, told 2." in said and "good: peers and the store are asked" in said
+    assert "foreign" in burlloom_says("recovery", "show", "-o", path, "--node", "n2")
+    kept.write_text(kept.read_text()[:-9])
+    assert "torn: a cold start, and the fence" in burlloom_says("recovery", "show", "-o", path)
+    for told, fault in (({"state_file": "/none/kept"}, "recovery: state_file: the folder /none does not exist"),
+                        ({"begin": 0.6}, "recovery: begin_warm 0.5 is under begin, 0.6"), ({"fence": "no"}, "recovery.fence: "),
+                        ({"retries": -1}, "recovery.retries: ")):
+        path.write_text(json.dumps({"recovery": told}))
+        assert fault in burlloom("check", "-o", path, status=2)
+
+
+def burlloom_says(*words: Any) -> str:
+    """Of a command that ends with status 1, what it prints."""
+    done = subprocess.run([sys.executable, "-m", "burlloom.command", *map(str, words)], cwd=ROOT, text=True,
+                          capture_output=True, timeout=60)
+    assert done.returncode == 1, done
+    return done.stdout
