--- a/burlloom/operator/recovery.py
+++ b/burlloom/operator/recovery.py
@@ -42,8 +42,8 @@
             raise ValueError(f"begin_warm {self.begin_warm:g} is under begin, {self.begin:g}")
         return self
 
-    def terms(self, window: int) -> "Terms":
-        """`window`: the longest of the products', ns."""
+    def terms(self, window: int, durable: bool) -> "Terms":
+        """`window`: the longest of the products', ns. `durable`: no run begins before its mark is in the record."""
         from ..recovery import Terms
         return Terms(window, self.step_ms * MS, self.begin, self.begin_warm, ask=self.ask_ms * MS, age_most=self.age_ms * MS,
-                     retry_part=self.retries, retry_few=self.retries_few, fence=self.fence)
+                     retry_part=self.retries, retry_few=self.retries_few, fence=self.fence, durable=durable)
--- a/burlloom/recovery/recovery.py
+++ b/burlloom/recovery/recovery.py
@@ -30,6 +30,7 @@
     retry_few: float = 2.0
     retry_span: int = 2000 * MS
     fence: str = "retries"  # "off": marks of the last life are thought never to matter
+    durable: bool = False  # no run begins before its mark is in the store of record
 
 
 class Recovery:
@@ -38,7 +39,9 @@
         self.terms = terms
         self.kept = found if isinstance(found, Kept) else None
         self.verdict = judge(found, node, wall, terms.age_most // MS)
-        self.start = Start(lonely, self.kept is not None and self.kept.clean, terms.window)
+        # What a crash left is in the store, if there is one; whether that is the same store, it says itself.
+        stored = self.kept is not None and terms.durable and self.kept.record_life >= 0
+        self.start = Start(lonely, self.kept is not None and (self.kept.clean or stored), terms.window)
         self.retries = Retries(terms.retry_part, terms.retry_few, terms.retry_span)
         self.began = now
         self.ramp: Ramp | None = None
--- a/burlloom/server/parts.py
+++ b/burlloom/server/parts.py
@@ -137,7 +137,8 @@
     part, facts = operator.recovery, orders.facts
     if part is None:
         return None
-    terms = part.terms(max(product.window for product in facts.products))
+    durable = operator.record is not None and operator.record.mode == "require"
+    terms = part.terms(max(product.window for product in facts.products), durable)
     lonely = operator.fleet is None and operator.record is None
     alone = facts.calls_share or facts.crowd * facts.cores
     file = Path(part.state_file) if part.state_file is not None else None
