--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -22,6 +22,7 @@
 
 from burlloom.fleet import CALL
 from burlloom.lab import World, play
+from burlloom.lab.charts import recovery_chart
 from burlloom.lab.emulator import Emulator, Watch
 from burlloom.lab.fleets import Joining
 from burlloom.recovery import Terms, Verdict
@@ -80,25 +81,12 @@
 
 
 def chart(rows: list[dict[str, Any]], size: int, folder: Path) -> None:
-    import matplotlib
-    matplotlib.use("svg")
-    from matplotlib import pyplot
-    matplotlib.rcParams["svg.hashsalt"] = "burlloom"
-    figure, (above, under) = pyplot.subplots(2, 1, figsize=(8, 5), sharex=True)
-    for variant in VARIANTS:
-        chosen = [row for row in rows if row["size"] == size and row["variant"] == variant]
-        for axis, what in ((above, "rate"), (under, "most")):
-            series = [statistics.mean(each) for each in zip(*(row[what] for row in chosen), strict=False)]
-            axis.plot(range(len(series)), series, label=variant, linewidth=1.2)
-    above.axhline(0.95, color="grey", linewidth=0.6)
-    under.axhline(1.0, color="grey", linewidth=0.6)
-    above.set_ylabel("settled, of before")
-    under.set_ylabel("most calls in hand, of the share")
-    under.set_xlabel(f"s; {size} servers, nine in ten killed at {KILLED_AT}, back at {KILLED_AT + DOWN_FOR}; mean over seeds")
-    above.set_xlim(4, SECONDS - 7)
-    above.legend()
-    figure.tight_layout()
-    figure.savefig(folder / f"recovery-{size}.svg", metadata={"Date": None})
+    def mean(variant: str, what: str) -> list[float]:
+        chosen = [row[what] for row in rows if row["size"] == size and row["variant"] == variant]
+        return [statistics.mean(each) for each in zip(*chosen, strict=False)]
+    title = f"s; {size} servers, nine in ten killed at {KILLED_AT}, back at {KILLED_AT + DOWN_FOR}; mean over seeds"
+    recovery_chart(folder / f"recovery-{size}.svg", title,
+                   {variant: (mean(variant, "rate"), mean(variant, "most")) for variant in VARIANTS}, SECONDS - 7)
 
 
 def main() -> None:
--- a/burlloom/lab/charts.py
+++ b/burlloom/lab/charts.py
@@ -91,3 +91,20 @@
                  f"<td>{one.low:+.3f} to {one.high:+.3f}</tr>" for one in pairs]
         said.append("</table>")
     path.write_text("\n".join(said) + "\n", encoding="utf-8")
+
+
+def recovery_chart(path: Path, title: str, variants: dict[str, tuple[Sequence[float], Sequence[float]]], last: int) -> None:
+    """For each way of coming back, by second: what is settled as a part of before, and the most calls below as a part of
+    the share. Up to `last` s."""
+    figure, (above, under) = pyplot.subplots(2, 1, figsize=(8, 5), sharex=True)
+    for name, (rate, most) in variants.items():
+        above.plot(rate, label=name, lw=1.2)
+        under.plot(most, label=name, lw=1.2)
+    above.axhline(0.95, color="grey", lw=0.6)
+    under.axhline(1.0, color="grey", lw=0.6)
+    above.set_ylabel("settled, of before")
+    under.set_ylabel("most calls below, of the share")
+    under.set_xlabel(title)
+    above.set_xlim(4, last)
+    above.legend(fontsize=8)
+    save(figure, path)
