--- a/benchmarks/fleet_shares.py
+++ b/benchmarks/fleet_shares.py
@@ -1,4 +1,5 @@
-"""Do the shares of a fleet add up? Simulated, 3, 30 and 300 servers, against each server alone; takes some minutes.
+"""Do the shares of a fleet add up? Simulated, 3, 30 and 300 servers, against each server alone; takes some
+minutes.
 
     python benchmarks/fleet_shares.py [--members] [--servers] [--subsets] [--chance SEEDS]
 
@@ -95,7 +96,8 @@
         while not swarm.agreed():
             swarm.run(0.1)
         rows.append(("who deals is killed: noticed by all", size - 1, loop.now - noticed))
-        rows.append(("and its share dealt anew", size - 1, loop.now - noticed + seen.settles(calls / (size - 1))))
+        rows.append(("and its share dealt anew", size - 1,
+            loop.now - noticed + seen.settles(calls / (size - 1))))
         swarm.start(first)
         rows.append(("started again", size, seen.settles(calls / size)))
         up = swarm.up()
@@ -109,7 +111,8 @@
         rows.append(("a third cut off for 30 s, healed: all agree", size, loop.now - healed))
         rows.append(("and shares are fair", size, loop.now - healed + seen.settles(calls / size)))
         cost = (time.perf_counter() - began) / loop.now / size * 1000
-    return [f"| {size} | {what} | {up} | {'-' if not took else f'{took:.1f}'} |" for what, up, took in rows] + [
+    return [f"| {size} | {what} | {up} | {'-' if not took else f'{took:.1f}'} |"
+        for what, up, took in rows] + [
         f"| {size} | most in use at any time, of the share | | {seen.peak / calls:.3f} |",
         f"| {size} | CPU of a member, ms a second (and of the emulation) | | {cost:.1f} |"]
 
@@ -118,9 +121,12 @@
     """Calls that the runs want are twice what the catalogue bears; a tenth of the servers at first."""
     first, slots = max(3, size // 10) if size > 3 else 0, size
     return World.model_validate({
-        "name": f"{size}", "seconds": 40, "machines": {"count": size, "cores": 2, "memory_mb": 200, "first": first},
-        "products": [{"name": "look", "share": 0.7, "work_ms": 200, "sla_ms": 2400, "expiry_ms": 6000, "value": 1},
-                     {"name": "pay", "share": 0.3, "work_ms": 200, "sla_ms": 1600, "expiry_ms": 6000, "value": 5,
+        "name": f"{size}", "seconds": 40, "machines": {"count": size, "cores": 2, "memory_mb": 200,
+        "first": first},
+        "products": [{"name": "look", "share": 0.7, "work_ms": 200, "sla_ms": 2400, "expiry_ms": 6000,
+        "value": 1},
+                     {"name": "pay", "share": 0.3, "work_ms": 200, "sla_ms": 1600, "expiry_ms": 6000,
+                     "value": 5,
                       "kind": "referenced", "window_ms": 17940}],
         "tenants": [{"name": "acme", "share": 1}], "callers": {"count": 30},
         "below": {"slots": slots, "call_ms": 500}, "load": {"low": 0.7, "high": 0.7},
@@ -154,7 +160,8 @@
 # Ways of choosing subsets.
 
 def in_rounds(names: list[str], below: list[str], size: int) -> dict[str, list[str]]:
-    """Deterministic subsetting as Google's book has it: each round of servers deals out one shuffle of the services."""
+    """Deterministic subsetting as Google's book has it: each round of servers deals out one shuffle of the
+    services."""
     count = max(1, len(below) // size)
     found = {}
     for at, name in enumerate(sorted(names)):
@@ -172,15 +179,18 @@
     """Rendezvous with bounded loads: all pairs by rank, a service that is full is passed over."""
     most = math.ceil(1.1 * len(names) * size / len(below))
     load, found = dict.fromkeys(below, 0), {name: list[str]() for name in names}
-    for _, name, service in sorted(((rank(name, service), name, service) for name in names for service in below), reverse=True):
+    for _, name, service in sorted(((rank(name, service), name, service) for name in names
+            for service in below), reverse=True):
         if len(found[name]) < size and load[service] < most:
             found[name].append(service)
             load[service] += 1
     return found
 
 
-def judged(way: Callable[[list[str], list[str], int], dict[str, list[str]]], count: int, services: int, size: int) -> tuple[float, float, float]:
-    """Load of the most loaded over the mean, calls spread evenly; pairs moved by a leave and by a lost service, times N."""
+def judged(way: Callable[[list[str], list[str], int], dict[str, list[str]]], count: int, services: int,
+        size: int) -> tuple[float, float, float]:
+    """Load of the most loaded over the mean, calls spread evenly; pairs moved by a leave and by a lost
+    service, times N."""
     names, below = [f"n{at}" for at in range(count)], [f"10.0.0.{at}:80" for at in range(services)]
     before = way(names, below, size)
     load = dict.fromkeys(below, 0.0)
@@ -192,7 +202,8 @@
     def moved(names: list[str], below: list[str], of: int) -> float:
         after = {(name, service) for name, chosen in way(names, below, size).items() for service in chosen}
         return len(after ^ pairs) / len(pairs) * of
-    return max(load.values()) / (count / services), moved(names[1:], below, count), moved(names, below[1:], services)
+    return max(load.values()) / (count / services), moved(names[1:], below, count), moved(names, below[1:],
+        services)
 
 
 def subsets(count: int, services: int, size: int) -> list[str]:
@@ -203,8 +214,10 @@
 
     def moved(names: list[str], below: list[str], of: int) -> float:
         return len(spread(names, below, size).pairs() ^ before.pairs()) / len(before.pairs()) * of
-    rows.append(("rendezvous, fitted (ours)", before.worst, moved(names[1:], below, count), moved(names, below[1:], services)))
-    return [f"| {count} | {services} | {name} | {worst:.2f} | {one:.2f} | {other:.2f} |" for name, worst, one, other in rows]
+    rows.append(("rendezvous, fitted (ours)", before.worst, moved(names[1:], below, count),
+        moved(names, below[1:], services)))
+    return [f"| {count} | {services} | {name} | {worst:.2f} | {one:.2f} | {other:.2f} |"
+        for name, worst, one, other in rows]
 
 
 def chance(seed: int) -> int:
@@ -224,7 +237,8 @@
         if told.members:
             jobs += [pool.submit(members, size) for size in reversed(SIZES)]
         if told.servers:
-            jobs += [pool.submit(servers, size, variant) for size in reversed(SIZES) for variant in ("alone", "fleet")]
+            jobs += [pool.submit(servers, size, variant) for size in reversed(SIZES)
+                for variant in ("alone", "fleet")]
         if told.subsets:
             jobs += [pool.submit(subsets, count, services, 8) for count in SIZES for services in (10, 40)]
         for job in jobs:
--- a/burlloom/command/fleet.py
+++ b/burlloom/command/fleet.py
@@ -1,4 +1,5 @@
-"""`burlloom fleet ...`: keys, what a server sees of the fleet, what a change of it would move, members who are gone."""
+"""`burlloom fleet ...`: keys, what a server sees of the fleet, what a change of it would move, members who
+are gone."""
 
 import json
 import os
@@ -11,7 +12,7 @@
 
 import click
 
-from .shared import operator_file, operator_option
+from .shared import operator_file, operator_option, state_told
 
 if TYPE_CHECKING:
     from ..operator import FleetPart
@@ -33,15 +34,7 @@
 
 
 def state_of(part: "FleetPart") -> dict[str, Any]:
-    if part.state_file is None:
-        raise click.UsageError("fleet.state_file is not set: the server tells its view nowhere")
-    try:
-        got = json.loads(Path(part.state_file).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
-        click.echo(f"burlloom: {part.state_file}: {error}", err=True)
-        sys.exit(2)
-    assert isinstance(got, dict)
-    return got
+    return state_told(part.state_file, "fleet.state_file", "its view")
 
 
 @fleet.command()
@@ -49,7 +42,8 @@
 def key(file: Path) -> None:
     """Add a new key as the last line of FILE, which is made if there is none (mode 600).
 
-    To change keys while the fleet runs: add it on all servers, then move it to the first line on all, then take the
+    To change keys while the fleet runs: add it on all servers, then move it to the first line on all, then
+    take the
     old one away. Each server looks at its file once a second."""
     made = secrets.token_hex(32)
     handle = os.open(file, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
@@ -69,7 +63,8 @@
         return
     old = (time.time_ns() - state["told_at"]) / SECOND
     click.echo(f"{state['name']}: share {state['share']:g} of {state['total']:g} calls, {state['state']}; dealt by"
-               f" {state['dealt_by'] or 'nobody yet'}" + (f", itself ({state['deals']})" if state["deals"] != "idle" else "")
+               f" {state['dealt_by'] or 'nobody yet'}" + (f", itself ({state['deals']})"
+               if state["deals"] != "idle" else "")
                + (f"; told {old:.0f} s ago: it does not serve" if old > STALE_S else ""))
     for member in state["members"]:
         bound = f"  bound {member['bound']:g}" if state["deals"] != "idle" and "bound" in member else ""
@@ -114,7 +109,8 @@
 def forget(operator: Path | None, names: tuple[str, ...], force: bool) -> None:
     """Say of NAMES that they left and will not come back: what they held is dealt anew at once.
 
-    Only for servers that surely call nothing below any more: one that lives says so and is back. For when more than
+    Only for servers that surely call nothing below any more: one that lives says so and is back. For when
+    more than
     half of the fleet was lost for good, so that the rest may not deal its calls by itself."""
     from ..fleet import State, Word
     from ..fleet.letters import Kind, Letter, seal
@@ -123,12 +119,14 @@
     known = {member["name"]: member for member in state["members"]}
     faults = [f"{name}: {state['name']} knows no such member" for name in names if name not in known]
     faults += [f"{name}: is {known[name]['state']} to {state['name']}; say --force if it surely calls nothing"
-               for name in names if name in known and known[name]["state"] not in ("dead", "left") and not force]
+               for name in names if name in known and known[name]["state"] not in ("dead", "left")
+               and not force]
     if faults:
         for fault in faults:
             click.echo(f"burlloom: {fault}", err=True)
         sys.exit(2)
-    words = [Word(name, known[name]["address"], known[name]["life"], known[name]["incarnation"], State.LEFT) for name in names]
+    words = [Word(name, known[name]["address"], known[name]["life"], known[name]["incarnation"], State.LEFT)
+        for name in names]
     own = known[state["name"]]["address"]
     # Nobody is there under this name: it has left as it is first heard of.
     sender = Word("operator", "127.0.0.1:9", time.time_ns() // 1_000_000, 0, State.LEFT)
--- a/burlloom/command/levels.py
+++ b/burlloom/command/levels.py
@@ -11,7 +11,7 @@
 
 import click
 
-from .shared import operator_file, operator_option
+from .shared import operator_file, operator_option, state_told
 
 if TYPE_CHECKING:
     from ..levels import Bounds, Moved, Plan
@@ -36,15 +36,7 @@
 
 
 def state_of(part: "LevelsPart") -> dict[str, Any]:
-    if part.state_file is None:
-        raise click.UsageError("levels.state_file is not set: the server tells its level nowhere")
-    try:
-        got = json.loads(Path(part.state_file).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
-        click.echo(f"burlloom: {part.state_file}: {error}", err=True)
-        sys.exit(2)
-    assert isinstance(got, dict)
-    return got
+    return state_told(part.state_file, "levels.state_file", "its level")
 
 
 def takes_away(plan: "Plan", at: int) -> str:
--- a/burlloom/command/recovery.py
+++ b/burlloom/command/recovery.py
@@ -10,7 +10,8 @@
 
 MEANS = {"good": "peers and the store are asked; then its hints are used", "missing": "a cold start",
          "torn": "a cold start, and the fence", "foreign": "of another name: a cold start, and the fence",
-         "future": "told later than now, a clock was stepped: a cold start, and the fence", "old": "a cold start"}
+         "future": "told later than now, a clock was stepped: a cold start, and the fence",
+         "old": "a cold start"}
 
 
 @click.group()
@@ -22,7 +23,8 @@
 @operator_option
 @click.option("--node", help="The server's name; by default the one in the file.")
 def show(operator: Path | None, node: str | None) -> None:
-    """What stands in the state file, and what a start now would make of it. Status 1 if it would not be believed."""
+    """What stands in the state file, and what a start now would make of it. Status 1 if it would not be
+    believed."""
     from ..recovery import Kept, Verdict, judge, read
     part = operator_file(operator).recovery
     if part is None or part.state_file is None:
--- a/burlloom/command/shared.py
+++ b/burlloom/command/shared.py
@@ -1,10 +1,11 @@
 """What several commands share: the operator's file, and faults told in one way."""
 
+import json
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import click
 
@@ -38,3 +39,17 @@
         for line in faults.lines:
             click.echo(line, err=True)
         sys.exit(2)
+
+
+def state_told(path: str | None, setting: str, what: str) -> dict[str, Any]:
+    """What a server wrote of itself to the file that `setting` names; else says why there is none, and
+    ends."""
+    if path is None:
+        raise click.UsageError(f"{setting} is not set: the server tells {what} nowhere")
+    try:
+        got = json.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        click.echo(f"burlloom: {path}: {error}", err=True)
+        sys.exit(2)
+    assert isinstance(got, dict)
+    return got
--- a/burlloom/fleet/deal.py
+++ b/burlloom/fleet/deal.py
@@ -15,8 +15,9 @@
   until all have reported, or for as long as an older dealer could still have raised and its grants hold.
 
 Source: Google's Doorman (2016) hands out leases of a capacity from an elected server with a learning mode;
-Breakwater (Cho and others, OSDI 2020) grants credits by demand. The split is max-min fair, by weight; whole calls go
-round in turns by error diffusion, so that each has its exact share over some turns and the sum is exact in each.
+Breakwater (Cho and others, OSDI 2020) grants credits by demand. The split is max-min fair, by weight; whole
+calls go round in turns by error diffusion, so that each has its exact share over some turns and the sum is
+exact in each.
 """
 
 from collections.abc import Callable, Mapping, Sequence
@@ -28,6 +29,7 @@
 STICKS = 1500  # thousandths; see `turns`
 HEADROOM = 1.25  # of what a member uses: more is free for its next peak
 MS = 1_000_000
+NEWBORN = 1600 * MS  # until a fleet in which nobody held anything is dealt to; knocks come each probe
 
 
 class Phase(IntEnum):
@@ -63,9 +65,10 @@
 class Terms:
     """Of the whole fleet, the same on each member. `total`: calls in hand that the services below bear,
     thousandths. `least`: the fleet is never thought smaller. Times in ns: `round` between reports;
-    `lease` of a grant; `turn` between two dealings; `cut` after which one that was granted nothing in the name of half of the
-    fleet falls to its floor; `redeal` after which what the dead held is dealt anew. `floor`: the part of
-    an equal share that is kept when cut off; `idle`: by one that wants nothing, for its first call."""
+    `lease` of a grant; `turn` between two dealings; `cut` after which one that was granted nothing in the
+    name of half of the fleet falls to its floor; `redeal` after which what the dead held is dealt anew.
+    `floor`: the part of an equal share that is kept when cut off; `idle`: by one that wants nothing, for its
+    first call."""
 
     total: int
     least: int = 1
@@ -153,8 +156,10 @@
 
     # What the member calls.
 
-    def round(self, now: int, fleet: Mapping[str, Present], first: bool, gap: bool = False, roster: int = 0) -> None:
-        """`fleet`: all that may hold something, by name; `roster`: as in a report. `gap`: nothing was done here for long."""
+    def round(self, now: int, fleet: Mapping[str, Present], first: bool, gap: bool = False,
+            roster: int = 0) -> None:
+        """`fleet`: all that may hold something, by name; `roster`: as in a report. `gap`: nothing was done
+        here for long."""
         self.fleet, self.is_first, self.roster = fleet, first, roster
         if self.many(now):
             self.many_at = now
@@ -181,8 +186,8 @@
         return grant
 
     def disown(self, name: str, life: int, number: int) -> None:
-        """It may be raised by another from now on, and does not count as one that reports to us until it does anew;
-        a report up to that number that is still on its way does not change that."""
+        """It may be raised by another from now on, and does not count as one that reports to us until it does
+        anew; a report up to that number that is still on its way does not change that."""
         account = self.accounts.get(name)
         if account is None or account.life < life:
             account = self.accounts[name] = Account(life, number, 0, Told(0, 0, 0, 1), 0)
@@ -208,12 +213,14 @@
         # Those who have not reported since we began to learn may have been raised by another.
         bound = sum(account.bound if account.at >= self.since else max(account.bound, equal)
                     for account in self.accounts.values())
-        unknown = sum(name not in self.accounts and not self.lost(now, present) for name, present in self.fleet.items())
+        unknown = sum(name not in self.accounts and not self.lost(now, present)
+            for name, present in self.fleet.items())
         return self.terms.total - bound - unknown * equal
 
     def lost(self, now: int, present: Present) -> bool:
         """Dead for so long that it is at its floor by itself. Told only where most of the fleet reports."""
-        return (not present.there and now - present.since >= self.terms.redeal and self.phase is Phase.DEALING)
+        return (not present.there and now - present.since >= self.terms.redeal
+            and self.phase is Phase.DEALING)
 
     def sure(self, now: int) -> bool:
         """Whether a grant is in the name of half of the fleet: then no other part of it can deal it anew."""
@@ -254,9 +261,10 @@
         # Who all count the same fleet as we do leave nobody out who holds something that one of them granted.
         known = [name for name, account in self.accounts.items()
                  if account.at >= self.since and name in self.fleet and account.told.roster == self.roster]
-        # Where all are new, those who lived on, if any, may not have found us yet: they knock twice meanwhile.
+        # Where all are new, those who lived on, if any, may not have found us yet: they knock twice
+        # meanwhile.
         old = any(self.accounts[name].told.share for name in known)
-        least = 3 * self.terms.round if old else self.terms.fresh
+        least = 3 * self.terms.round if old else max(3 * self.terms.round, NEWBORN)
         return len(known) >= self.size() and now - self.since >= least or now - self.since >= self.terms.learns
 
     # Effects.
@@ -278,9 +286,12 @@
             return
         self.turned, self.hurried = now, False
         self.turns += 1
-        names = sorted(name for name, account in self.accounts.items() if now - account.at <= self.terms.lease)
-        kept = sum(account.bound for name, account in self.accounts.items() if now - account.at > self.terms.lease)
-        unknown = sum(name not in self.accounts and not self.lost(now, one) for name, one in self.fleet.items())
+        names = sorted(name for name, account in self.accounts.items()
+            if now - account.at <= self.terms.lease)
+        kept = sum(account.bound for name, account in self.accounts.items()
+            if now - account.at > self.terms.lease)
+        unknown = sum(name not in self.accounts and not self.lost(now, one)
+            for name, one in self.fleet.items())
         total = max(0, self.terms.total - kept - unknown * self.terms.equal(len(self.fleet)))
         accounts = [self.accounts[name] for name in names]
         idle = int(self.terms.idle * self.terms.equal(len(self.fleet)))
@@ -312,13 +323,14 @@
             given[at] = HEADROOM * wants[at]
             left -= given[at]
         open = [at for at in open if at not in set(full)]
-    return [share + left * weight / every if every else share for share, weight in zip(given, weights, strict=True)]
+    return [share + left * weight / every if every else share
+        for share, weight in zip(given, weights, strict=True)]
 
 
 def turns(total: int, ideal: Sequence[float], accounts: Sequence[Account]) -> list[int]:
-    """Whole calls where a share is one or more, thousandths; the sum is at most `total`. What a share is rounded
-    by is carried on, and a member keeps what it has until STICKS is owed to it or by it: each change costs the time
-    in which one has given a call back and the other has not yet taken it."""
+    """Whole calls where a share is one or more, thousandths; the sum is at most `total`. What a share is
+    rounded by is carried on, and a member keeps what it has until STICKS is owed to it or by it: each change
+    costs the time in which one has given a call back and the other has not yet taken it."""
     owed, given = [0.0] * len(accounts), [0] * len(accounts)
     lows = [int(share // CALL) * CALL for share in ideal]
     large = [at for at, low in enumerate(lows) if low]
--- a/burlloom/fleet/fleet.py
+++ b/burlloom/fleet/fleet.py
@@ -1,7 +1,8 @@
-"""One member of the fleet, whole: who else is there, the share of the calls below, what is sent to whom. No I/O.
+"""One member of the fleet, whole: who else is there, the share of the calls below, what is sent to whom. No
+I/O.
 
-A host gives it a clock's time, what datagrams come (`hear`) and what is in use (`uses`), calls `tick` several times
-a round, and sends what lies in `out`. Times are ns of a clock that never steps back; lives are Unix ms.
+A host gives it a clock's time, what datagrams come (`hear`) and what is in use (`uses`), calls `tick` several
+times a round, and sends what lies in `out`. Times are ns of a clock that never steps back; lives are Unix ms.
 """
 
 from collections import deque
@@ -77,7 +78,8 @@
 
 
 class Fleet:
-    def __init__(self, own: Word, seeds: tuple[str, ...], keys: tuple[bytes, ...], terms: Terms, habits: Habits,
+    def __init__(self, own: Word, seeds: tuple[str, ...], keys: tuple[bytes, ...], terms: Terms,
+            habits: Habits,
                  chance: Random, now: int) -> None:
         """`seeds`: addresses where others may be, our own may be among them. The first key seals."""
         self.terms, self.habits, self.chance, self.keys = terms, habits, chance, keys
@@ -101,9 +103,11 @@
         self.report_number, self.report_at, self.asked_of, self.born = -1, now, "", now
         self.roster = 0
         self.former = 0  # the latest life of our name before this one that others knew, Unix ms
-        self.formers: dict[str, tuple[int, int]] = {}  # who was started again: the life before, and how often it is told
+        self.formers: dict[str,
+            tuple[int, int]] = {}  # who was started again: the life before, and how often it is told
         self.seen, self.first, self.present = -1, own, dict[str, Present]()
-        self.report_last, self.tied = -1, ("", -1)  # our last report to another; who may count us still, and by which
+        self.report_last, self.tied = -1, ("",
+            -1)  # our last report to another; who may count us still, and by which
         self.counted = False  # whether the one that we last reported to may count us among those who do
         self.strangers = 0  # members whose terms are not ours
 
@@ -117,8 +121,8 @@
         return self.holder.share
 
     def good(self, now: int) -> bool:
-        """Whether the share is one that we may still act on: else `tick` comes first. Guards against a process
-        that was paused and wakes with what was dealt to others meanwhile."""
+        """Whether the share is one that we may still act on: else `tick` comes first. Guards against a
+        process that was paused and wakes with what was dealt to others meanwhile."""
         return now - self.last <= self.terms.lease
 
     def uses(self, wants: int, in_hand: int) -> None:
@@ -134,7 +138,8 @@
             self.awoken(now, gap)
         self.last = now
         self.probing(now)
-        self.errands = {number: errand for number, errand in self.errands.items() if now - errand.at < self.habits.probe}
+        self.errands = {number: errand for number, errand in self.errands.items()
+            if now - errand.at < self.habits.probe}
         if now - self.rounded >= self.terms.round or paused:
             self.rounded = now
             self.round(now, gap)
@@ -274,8 +279,9 @@
         return self.terms.total * 1009 + self.terms.lease // MS * 31 + self.terms.redeal // MS + self.terms.cut // MS * 7
 
     def knock(self) -> None:
-        """At the doors of some that are dead, and of addresses where nobody is known: so a cut that heals is noticed, and
-        those who were all started anew hear of the ones that lived on before they deal among themselves."""
+        """At the doors of some that are dead, and of addresses where nobody is known: so a cut that heals is
+        noticed, and those who were all started anew hear of the ones that lived on before they deal among
+        themselves."""
         known = {member.word.address for member in self.members.there()}
         dead = [member.word.address for member in self.members if member.state is State.DEAD]
         doors = [address for address in {*self.seeds, *dead} if address not in known]
@@ -356,10 +362,12 @@
             self.dealer.disown(sender.name, sender.life, letter.number)
             self.post(sender.address, Letter(Kind.ELSEWHERE, self.own, letter.number, (), "", (self.first,)))
         elif grant is not None:
-            self.send(sender.address, Kind.GRANT, letter.number, (grant, int(self.dealer.sure(now))), about=sender.name)
+            self.send(sender.address, Kind.GRANT, letter.number, (grant, int(self.dealer.sure(now))),
+                about=sender.name)
 
     def grant_came(self, now: int, letter: Letter) -> None:
-        if (letter.sender.name == self.dealt_by and letter.number == self.report_number and len(letter.numbers) == 2):
+        if (letter.sender.name == self.dealt_by and letter.number == self.report_number
+                and len(letter.numbers) == 2):
             self.granted(now, letter.numbers[0], letter.numbers[1] == 1)
 
     def sent_elsewhere(self, now: int, letter: Letter) -> None:
@@ -371,7 +379,8 @@
 
     def untied(self, now: int, letter: Letter) -> None:
         self.dealer.disown(letter.sender.name, letter.sender.life, letter.number)
-        self.post(letter.sender.address, Letter(Kind.ELSEWHERE, self.own, letter.number, (), "", (self.first,)))
+        self.post(letter.sender.address, Letter(Kind.ELSEWHERE, self.own, letter.number, (), "",
+            (self.first,)))
 
     def said_bye(self, now: int, letter: Letter) -> None:
         pass  # its own word, which goes with each letter, has said it
--- a/burlloom/fleet/hold.py
+++ b/burlloom/fleet/hold.py
@@ -1,4 +1,5 @@
-"""One member's share of the calls below: what was granted, and what is left of it where no grant comes. No I/O.
+"""One member's share of the calls below: what was granted, and what is left of it where no grant comes. No
+I/O.
 
 States: COLD nothing was granted in this life, so nothing is held; HOLDING a grant's lease runs; ADRIFT it ran
 out: an equal share is kept, or what was held if that is less, as nobody deals that anew yet; CUT nothing was
--- a/burlloom/fleet/letters.py
+++ b/burlloom/fleet/letters.py
@@ -57,7 +57,8 @@
 
 def seal(letter: Letter, key: bytes) -> bytes:
     sender, words = [*letter.sender], [[*word] for word in letter.words]
-    text: bytes = msgpack.packb([VERSION, int(letter.kind), sender, letter.number, letter.numbers, letter.name, words])
+    text: bytes = msgpack.packb([VERSION, int(letter.kind), sender, letter.number, letter.numbers,
+        letter.name, words])
     return tag(key, text) + text
 
 
@@ -81,7 +82,8 @@
     _, kind, sender, number, numbers, name, words = got
     if type(kind) is not int or not 0 <= kind < len(Kind):
         raise Unreadable(f"of no kind: {kind!r}")
-    if not whole(number) or type(numbers) is not list or len(numbers) > NUMBERS_MOST or not all(map(whole, numbers)):
+    if not whole(number) or type(numbers) is not list or len(numbers) > NUMBERS_MOST or not all(map(whole,
+            numbers)):
         raise Unreadable("numbers that are none")
     if type(name) is not str or type(words) is not list or len(words) > WORDS_MOST:
         raise Unreadable("names or words that are none")
@@ -96,7 +98,8 @@
     if type(got) is not list or len(got) != 5:
         raise Unreadable("a word that is none")
     name, address, life, incarnation, state = got
-    if (type(name) is not str or not name or type(address) is not str or not whole(life) or not whole(incarnation)
+    if (type(name) is not str or not name or type(address) is not str or not whole(life)
+            or not whole(incarnation)
             or type(state) is not int or not State.ALIVE <= state <= State.LEFT):
         raise Unreadable("a word that is none")
     if address_of(address) is None:
--- a/burlloom/fleet/members.py
+++ b/burlloom/fleet/members.py
@@ -3,8 +3,8 @@
 After Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
 Protocol" (2002): whoever does not answer, directly nor through others, is suspected before it is held to be
 dead, and may refute that itself by a higher incarnation. Ours differs in three ways. An incarnation belongs
-to a life, so that a member that was started again is told from one that lived on. Who leaves says so. The dead
-stay in the view until they are forgotten: what they held below counts as taken meanwhile (`deal.py`).
+to a life, so that a member that was started again is told from one that lived on. Who leaves says so. The
+dead stay in the view until they are forgotten: what they held below counts as taken meanwhile (`deal.py`).
 
 States: ALIVE; SUSPECT it did not answer and may still; DEAD it did not refute that in time; LEFT by its own
 word; GONE not in the view. What others say moves a member by (life, incarnation, state) alone, each word to
@@ -189,7 +189,8 @@
     # What the view shows.
 
     def roster(self) -> int:
-        """Equal where two views count the same lives of the same members, whatever state they think them in."""
+        """Equal where two views count the same lives of the same members, whatever state they think them
+        in."""
         total = 0
         for member in self:
             if member.state is not State.LEFT:
@@ -204,7 +205,8 @@
         return sum(member.state is not State.LEFT for member in self)
 
     def first(self) -> Word:
-        """Who deals: the one that has lived longest of those who are there, so that newcomers change nothing."""
+        """Who deals: the one that has lived longest of those who are there, so that newcomers change
+        nothing."""
         return min((member.word for member in self if member.there), key=lambda word: (word.life, word.name),
                    default=self.own)
 
--- a/burlloom/fleet/subset.py
+++ b/burlloom/fleet/subset.py
@@ -3,8 +3,8 @@
 
 Each server takes the services that rank highest for it by rendezvous hashing (Thaler and Ravishankar, 1998):
 a server that comes or goes changes its own pairs and nobody else's. Chance alone would leave some services
-with far more servers than others, so each server spreads its calls by weights instead of evenly, such that all
-services together have the same load: the pairs are a matrix whose rows (a server's calls) and columns (a
+with far more servers than others, so each server spreads its calls by weights instead of evenly, such that
+all services together have the same load: the pairs are a matrix whose rows (a server's calls) and columns (a
 service's load) have given sums, fitted by turns (iterative proportional fitting, Sinkhorn and Knopp, 1967).
 
 Where even that leaves a service past its bound, all subsets are made larger until it does not. docs/fleet.md
@@ -32,7 +32,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Spread:
-    """Of the whole fleet: each server's choice; `worst`: the load of the most loaded service over the mean."""
+    """Of the whole fleet: each server's choice; `worst`: the load of the most loaded service over the
+    mean."""
 
     choices: Mapping[str, Choice]
     worst: float
@@ -129,7 +130,8 @@
 
     def next(self, now: int) -> str:
         """Those that are left out count again once all are. Raises `ValueError` where there are none."""
-        open = [service for service in self.parts if self.out.get(service, (0, 0))[0] <= now] or list(self.parts)
+        open = [service for service in self.parts if self.out.get(service,
+            (0, 0))[0] <= now] or list(self.parts)
         every = sum(self.parts[service] for service in open)
         for service in open:
             self.credit[service] += self.parts[service] / every
--- a/burlloom/lab/fleets.py
+++ b/burlloom/lab/fleets.py
@@ -84,7 +84,8 @@
 class Swarm:
     """Members by name; `sample` is called once a tick of theirs."""
 
-    def __init__(self, loop: SimulatedLoop, net: Net, terms: Terms, habits: Habits | None = None, seed: int = 1) -> None:
+    def __init__(self, loop: SimulatedLoop, net: Net, terms: Terms, habits: Habits | None = None,
+            seed: int = 1) -> None:
         self.loop, self.net, self.terms, self.habits, self.seed = loop, net, terms, habits or Habits(), seed
         self.bodies: dict[str, Body] = {}
         self.seeds: tuple[str, ...] = ()
@@ -97,7 +98,8 @@
         made = []
         for _ in range(count):
             at = len(self.bodies)
-            body = Body(f"n{at}", f"10.1.{at // 200}.{at % 200 + 1}:7946", demand=demand, seed=self.seed * 1009 + at)
+            body = Body(f"n{at}", f"10.1.{at // 200}.{at % 200 + 1}:7946", demand=demand,
+                seed=self.seed * 1009 + at)
             self.bodies[body.name] = body
             made.append(body)
         self.seeds = self.seeds or tuple(body.address for body in made[:3])
@@ -109,7 +111,8 @@
         body.lives += 1
         now, life = self.now(), (EPOCH + int(self.loop.now * SECOND)) // 1_000_000 + body.lives
         chance = Random(body.seed * 7 + body.lives)
-        body.fleet = Fleet(Word(body.name, body.address, life, 0, State.ALIVE), self.seeds, (KEY,), self.terms, self.habits,
+        body.fleet = Fleet(Word(body.name, body.address, life, 0, State.ALIVE), self.seeds, (KEY,),
+            self.terms, self.habits,
                            chance, now)
         body.paused_at, body.stuck = -1.0, []
         self.net.places[body.address] = lambda data: self.hear(body, data)
@@ -163,7 +166,8 @@
 
     def total(self) -> float:
         """Calls in hand below, of all."""
-        return sum(body.using for body in self.up() if self.loop.now - body.paused_at < PATIENCE or body.paused_at < 0)
+        return sum(body.using for body in self.up() if self.loop.now - body.paused_at < PATIENCE
+            or body.paused_at < 0)
 
     def shares(self) -> list[float]:
         return [body.fleet.share / CALL for body in self.up() if body.fleet is not None]
@@ -249,7 +253,8 @@
 class Joining:
     """Joins the nodes of a world; zones that are cut in the world are cut for letters too."""
 
-    def __init__(self, emulator: Emulator, terms: Terms, habits: Habits | None = None, loss: float = 0.0) -> None:
+    def __init__(self, emulator: Emulator, terms: Terms, habits: Habits | None = None,
+            loss: float = 0.0) -> None:
         self.emulator, self.loop, self.terms, self.habits = emulator, emulator.loop, terms, habits or Habits()
         low, high = emulator.world.callers.net_ms
         self.net = Net(self.loop, emulator.world.seed, (low / 1000, high / 1000), loss)
@@ -262,7 +267,8 @@
 
     def parted(self, source: str, target: str) -> bool:
         cuts = self.emulator.cuts
-        return bool(cuts) and self.zone(source) != self.zone(target) and bool(cuts & {self.zone(source), self.zone(target)})
+        return bool(cuts) and self.zone(source) != self.zone(target) and bool(cuts & {self.zone(source),
+            self.zone(target)})
 
     def fleeting(self, node: Node) -> Callable[[Server], Fleeting]:
         return lambda server: Joined(self, node, server)
--- a/burlloom/operator/fleet.py
+++ b/burlloom/operator/fleet.py
@@ -56,7 +56,8 @@
         from ..fleet.letters import KEY_LEAST, address_of
         wrong = []
         # A port of 0 is one that the system gives.
-        for what, address in (("listen", self.listen), ("advertise", self.advertise), *(("seeds", seed) for seed in self.seeds),
+        for what, address in (("listen", self.listen), ("advertise", self.advertise), *(("seeds", seed)
+                for seed in self.seeds),
                               *(("services", service) for service in self.services)):
             if address is not None and address_of(address) is None and not (
                     what == "listen" and address_of(address + "1") is not None and address.endswith(":0")):
@@ -82,7 +83,8 @@
 
     def terms(self) -> "Terms":
         from ..fleet import CALL, Terms
-        return Terms(int(self.calls * CALL), self.least, self.round_ms * MS, self.lease_ms * MS, self.turn_ms * MS,
+        return Terms(int(self.calls * CALL), self.least, self.round_ms * MS, self.lease_ms * MS,
+            self.turn_ms * MS,
                      self.cut_ms * MS, self.redeal_ms * MS, self.floor)
 
     def habits(self) -> "Habits":
--- a/burlloom/recovery/__init__.py
+++ b/burlloom/recovery/__init__.py
@@ -1,4 +1,5 @@
-"""Coming back after a mass restart or with state lost: what of the last life may be acted on, and how service rises.
+"""Coming back after a mass restart or with state lost: what of the last life may be acted on, and how service
+rises.
 
 Without I/O, and importable alone; `server/recovering.py` has the file and the clock.
 """
@@ -9,4 +10,5 @@
 from .retries import Retries
 from .start import Input, Start, State
 
-__all__ = ["Input", "Kept", "Ramp", "Recovery", "Retries", "Start", "State", "Terms", "Verdict", "judge", "read", "write"]
+__all__ = ["Input", "Kept", "Ramp", "Recovery", "Retries", "Start", "State", "Terms", "Verdict", "judge",
+    "read", "write"]
--- a/burlloom/recovery/kept.py
+++ b/burlloom/recovery/kept.py
@@ -1,8 +1,8 @@
 """What a server leaves to its next life, and whether that may be believed. No I/O: texts in, texts out.
 
-One line of JSON with a BLAKE2b over the rest: written whole beside the old one and renamed, so that a crash leaves
-the old or the new. The sum finds what was torn all the same, or touched by hand; it keeps no secret and proves no
-author.
+One line of JSON with a BLAKE2b over the rest: written whole beside the old one and renamed, so that a crash
+leaves the old or the new. The sum finds what was torn all the same, or touched by hand; it keeps no secret
+and proves no author.
 """
 
 import hashlib
@@ -30,8 +30,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Kept:
-    """`life`: Unix ms, of the life that wrote it, `told_at` when; `record_life`: of the store of record, -1 for none;
-    `share` in calls; `clean`: it drained, so that nothing was in doubt when it went."""
+    """`life`: Unix ms, of the life that wrote it, `told_at` when; `record_life`: of the store of record, -1
+    for none; `share` in calls; `clean`: it drained, so that nothing was in doubt when it went."""
 
     node: str
     life: int
@@ -74,10 +74,12 @@
         return Verdict.TORN
     whole = all(type(told[name]) is int for name in ("life", "told_at", "record_life"))
     names = told["members"]
-    if (not whole or type(told["node"]) is not str or type(told["clean"]) is not bool or type(names) is not list
+    if (not whole or type(told["node"]) is not str or type(told["clean"]) is not bool
+            or type(names) is not list
             or not all(type(name) is str for name in names) or type(told["share"]) not in (int, float)):
         return Verdict.TORN
-    return Kept(told["node"], told["life"], told["told_at"], told["record_life"], float(told["share"]), told["clean"],
+    return Kept(told["node"], told["life"], told["told_at"], told["record_life"], float(told["share"]),
+        told["clean"],
                 tuple(names[:MEMBERS_MOST]))
 
 
--- a/burlloom/recovery/recovery.py
+++ b/burlloom/recovery/recovery.py
@@ -1,4 +1,5 @@
-"""One server's way back, whole: what was kept is judged, the ramp rises, retries are held, the fence stands. No I/O."""
+"""One server's way back, whole: what was kept is judged, the ramp rises, retries are held, the fence stands.
+No I/O."""
 
 from dataclasses import dataclass
 
@@ -15,9 +16,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Terms:
-    """ns. `step` of the ramp; `begin`: the part of an equal share that it begins with; `begin_warm`: of what was held
-    last, where what was kept is used; `least`: calls, the cap is never lower. `ask`: for how long peers and the store may say something
-    of a later life. `age_most` of what was kept. `retry_part`, `retry_few` a second, over `retry_span`."""
+    """ns. `step` of the ramp; `begin`: the part of an equal share that it begins with; `begin_warm`: of what
+    was held last, where what was kept is used; `least`: calls, the cap is never lower. `ask`: for how long
+    peers and the store may say something of a later life. `age_most` of what was kept. `retry_part`,
+    `retry_few` a second, over `retry_span`."""
 
     window: int
     step: int = 500 * MS
@@ -34,7 +36,8 @@
 
 
 class Recovery:
-    def __init__(self, terms: Terms, found: Kept | Verdict, node: str, now: int, wall: int, lonely: bool) -> None:
+    def __init__(self, terms: Terms, found: Kept | Verdict, node: str, now: int, wall: int,
+            lonely: bool) -> None:
         """`now` in ns on the host's clock, `wall` in Unix ms. `lonely`: neither peers nor a store to ask."""
         self.terms = terms
         self.kept = found if isinstance(found, Kept) else None
@@ -73,7 +76,8 @@
         if self.kept.record_life < 0:
             return
         expected = self.kept.record_life + 1
-        self.told(Input.SAID_SAME if life == expected else Input.SAID_LATER if life > expected else Input.SAID_EARLIER, now)
+        self.told(Input.SAID_SAME if life == expected else Input.SAID_LATER if life > expected
+            else Input.SAID_EARLIER, now)
 
     # Rounds.
 
--- a/burlloom/recovery/start.py
+++ b/burlloom/recovery/start.py
@@ -1,12 +1,12 @@
 """Whether what a former life left is acted on: a table. No I/O.
 
-States: READING nothing is known yet; ASKING what was kept looks good, and peers or the store are asked whether a
-later life than that one is known; COLD nothing kept is acted on; WARM what was kept is.
+States: READING nothing is known yet; ASKING what was kept looks good, and peers or the store are asked
+whether a later life than that one is known; COLD nothing kept is acted on; WARM what was kept is.
 
-Two things are decided apart from each other. Hints (where to begin the ramp) are dropped at the least doubt: cold costs
-seconds. The fence is raised at the least doubt: while it stands, a marked retry of which nothing is known here is
-voided, as it may have run in a life of which the marks are lost. Addresses of others are no decision: they are asked
-in any case, and letters are sealed.
+Two things are decided apart from each other. Hints (where to begin the ramp) are dropped at the least doubt:
+cold costs seconds. The fence is raised at the least doubt: while it stands, a marked retry of which nothing
+is known here is voided, as it may have run in a life of which the marks are lost. Addresses of others are no
+decision: they are asked in any case, and letters are sealed.
 """
 
 from collections.abc import Callable
@@ -56,7 +56,8 @@
 
 
 class Start:
-    """`lonely`: there are neither peers nor a store to ask. `clean`: the life that wrote had drained. Times in ns."""
+    """`lonely`: there are neither peers nor a store to ask. `clean`: the life that wrote had drained. Times
+    in ns."""
 
     def __init__(self, lonely: bool, clean: bool, window: int) -> None:
         self.lonely_here, self.clean, self.window = lonely, clean, window
--- a/burlloom/standins/relay.py
+++ b/burlloom/standins/relay.py
@@ -1,7 +1,8 @@
 """A network for datagrams that a story can spoil: delays, losses, cuts, doubles. One address for each member.
 
-Whoever is reached through a relay advertises the relay's address for it. Letters carry no source that counts, so
-who sent one is told by the socket that it came from: `sent_from` tells the relay each member's own address.
+Whoever is reached through a relay advertises the relay's address for it. Letters carry no source that counts,
+so who sent one is told by the socket that it came from: `sent_from` tells the relay each member's own
+address.
 """
 
 import asyncio
--- a/tests/explore_fleet.py
+++ b/tests/explore_fleet.py
@@ -1,6 +1,8 @@
-"""Walks every history of one dealer and its holders: letters late, lost, doubled, out of order, members started again.
+"""Walks every history of one dealer and its holders: letters late, lost, doubled, out of order, members
+started again.
 
-Dealer and holder are those of burlloom.fleet. What is counted is counted here: what all may have in hand below, at once.
+Dealer and holder are those of burlloom.fleet. What is counted is counted here: what all may have in hand
+below, at once.
 """
 
 import copy
@@ -34,7 +36,8 @@
         return max(self.holder.share, self.in_hand)
 
     def key(self) -> Any:
-        return (self.holder.share, self.holder.state, self.life, self.reported, self.newest - self.number, self.in_hand,
+        return (self.holder.share, self.holder.state, self.life, self.reported, self.newest - self.number,
+            self.in_hand,
                 tuple((life, number - self.number, told) for life, number, told in self.reports),
                 tuple((life, number - self.number, share) for life, number, share in self.grants))
 
@@ -57,7 +60,8 @@
         self.dealer.fleet = {str(at): Present(one.life, True, NOW) for at, one in enumerate(self.members)}
 
     def key(self) -> Any:
-        accounts = tuple((name, one.life, one.number - self.members[int(name)].number, one.told, one.bound, one.target)
+        accounts = tuple((name, one.life, one.number - self.members[int(name)].number, one.told, one.bound,
+            one.target)
                          for name, one in sorted(self.dealer.accounts.items()))
         return accounts, tuple(member.key() for member in self.members)
 
@@ -66,12 +70,13 @@
 
 
 class Explorer:
-    """Begins with all calls held by the first member, which has them in hand. `broken`: a rule left out, to show
-    that the walk would notice."""
+    """Begins with all calls held by the first member, which has them in hand. `broken`: a rule left out, to
+    show that the walk would notice."""
 
     def __init__(self, calls: int = 2, members: int = 2, lives: int = 1, numbers: int = 2, in_flight: int = 2,
                  wants: tuple[int, ...] = (2 * CALL,), broken: str = "") -> None:
-        self.terms, self.count, self.lives, self.numbers = Terms(calls * CALL, idle=0.0), members, lives, numbers
+        self.terms, self.count, self.lives, self.numbers = Terms(calls * CALL,
+            idle=0.0), members, lives, numbers
         self.broken, self.in_flight, self.wants = broken, in_flight, wants
 
     def moves(self, world: World) -> list[Any]:
@@ -81,8 +86,10 @@
             if member.reported < self.numbers and len(member.reports) < self.in_flight:
                 found += [(self.report, at, wants) for wants in self.wants]
             # Each letter may come once more, late.
-            found += [(self.hear, at, which, keeps) for which in range(len(member.reports)) for keeps in (False, True)]
-            found += [(what, at, which) for which in range(len(member.grants)) for what in (self.take, self.lose)]
+            found += [(self.hear, at, which, keeps) for which in range(len(member.reports))
+                for keeps in (False, True)]
+            found += [(what, at, which) for which in range(len(member.grants))
+                for what in (self.take, self.lose)]
             if member.in_hand > member.holder.share:
                 found.append((self.empty, at))
             if member.life < self.lives:
--- a/tests/test_fleet_core.py
+++ b/tests/test_fleet_core.py
@@ -1,4 +1,5 @@
-"""The fleet's decisions without I/O: words about members, the dealing walked whole, chance in simulated time, subsets."""
+"""The fleet's decisions without I/O: words about members, the dealing walked whole, chance in simulated time,
+subsets."""
 
 from itertools import product
 from random import Random
@@ -15,7 +16,8 @@
 
 OWN = Word("own", "10.0.0.1:1", 5, 0, State.ALIVE)
 WORDS = [Word("m", "10.0.0.2:1", life, incarnation, state)
-         for life, incarnation in product((1, 2), (0, 1)) for state in (State.ALIVE, State.SUSPECT, State.DEAD, State.LEFT)]
+         for life, incarnation in product((1, 2), (0, 1))
+         for state in (State.ALIVE, State.SUSPECT, State.DEAD, State.LEFT)]
 
 
 def test_words_come_to_the_same_in_any_order() -> None:
@@ -30,7 +32,8 @@
         met.add((before.state, Input(int(then.state))))
         assert view.by_name["m"].word.rank == max(first.rank, then.rank)
         assert view.digest == twin(view).digest
-    for what, state, after in ((Input.SILENT, State.ALIVE, State.SUSPECT), (Input.EXPIRED, State.SUSPECT, State.DEAD),
+    for what, state, after in ((Input.SILENT, State.ALIVE, State.SUSPECT),
+            (Input.EXPIRED, State.SUSPECT, State.DEAD),
                                (Input.OLD, (State.DEAD, State.LEFT), None)):
         for other in (State.ALIVE, State.SUSPECT, State.DEAD, State.LEFT):
             view = Members(OWN, 0)
@@ -53,7 +56,8 @@
 
 
 def test_what_is_said_of_us_is_refuted() -> None:
-    for life, incarnation, state in product((4, 5, 6), (0, 1, 7), (State.ALIVE, State.SUSPECT, State.DEAD, State.LEFT)):
+    for life, incarnation, state in product((4, 5, 6), (0, 1, 7),
+            (State.ALIVE, State.SUSPECT, State.DEAD, State.LEFT)):
         view = Members(OWN, 0)
         said = Word("own", "10.9.9.9:1", life, incarnation, state)
         view.said(0, said)
@@ -70,7 +74,8 @@
 
 
 def test_dealing_walked_whole() -> None:
-    """One dealer, two holders, two reports each, any letter late or lost or doubled: never more in hand than there is."""
+    """One dealer, two holders, two reports each, any letter late or lost or doubled: never more in hand than
+    there is."""
     worlds, worst = Explorer().walk(1 << 20)
     assert worlds > 5000 and worst == 2 * CALL
 
@@ -112,7 +117,8 @@
 
 def happens(swarm: Swarm, body: Body, chance: Random) -> None:
     paused = body.paused_at >= 0
-    match chance.choice(["kill", "start", "start", "pause", "wake", "wake", "cut", "one-way", "heal", "heal", "leave", "want"]):
+    match chance.choice(["kill", "start", "start", "pause", "wake", "wake", "cut", "one-way", "heal", "heal",
+        "leave", "want"]):
         case "kill":
             swarm.kill(body)
         case "start" if body.fleet is None:
@@ -189,7 +195,8 @@
     for after in (joined, left):
         assert after.worst <= 1.1
         # Of the one that came or went; as much again where subsets are larger for a small fleet.
-        assert len(after.pairs() ^ pairs) <= (1.05 if before.size <= 8 or before.size == services else 3) * len(pairs) / servers + 1
+        assert len(after.pairs() ^ pairs) <= (1.05 if before.size <= 8 or before.size == services
+            else 3) * len(pairs) / servers + 1
     assert spread(names, below[1:], 8).worst <= 1.1
 
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,4 +1,5 @@
-"""Several processes of the program share out the calls below, while processes and the network between them fail.
+"""Several processes of the program share out the calls below, while processes and the network between them
+fail.
 
 What is asserted is seen by the services below: calls that are open there at once, looked at every 5 ms.
 """
@@ -28,7 +29,8 @@
     def wrap(story: Callable[[Fleet], Awaitable[None]]) -> Callable[[Path], None]:
         def test(tmp_path: Path) -> None:
             async def play() -> None:
-                async with Fleet(tmp_path, **{"calls": CALLS, "alone": CALLS, "least": count // 2 + 1, **told}) as made:
+                async with Fleet(tmp_path, **{"calls": CALLS, "alone": CALLS, "least": count // 2 + 1,
+                    **told}) as made:
                     await made.add(count)
                     await story(made)
             asyncio.run(play())
@@ -164,7 +166,8 @@
     gone = made.services.pop()
     await gone.stop()
     settled = [server.settled for server in two]
-    await made.settles(lambda: all(server.settled > before + 20 for server, before in zip(two, settled, strict=True)))
+    await made.settles(lambda: all(server.settled > before + 20
+        for server, before in zip(two, settled, strict=True)))
     anew()
     await made.settles(lambda: sum(len(service.calls) for service in made.services) > 200)
     assert even(made.services), [len(service.calls) for service in made.services]
@@ -176,7 +179,8 @@
     await made.settles(full(made))
     for keys in ((KEY, "aa" * 32), ("aa" * 32, KEY), ("aa" * 32,)):
         made.key.write_text("\n".join(keys) + "\n")
-        await until(lambda: all(f"event=fleet-keys count={len(keys)}" in server.log() for server in made.servers))
+        await until(lambda: all(f"event=fleet-keys count={len(keys)}" in server.log()
+            for server in made.servers))
         await within(made, 1.2)
     made.key.write_text("not hex\n")
     await until(lambda: all("event=fleet-keys-refused" in server.log() for server in made.servers))
@@ -197,7 +201,8 @@
     gone, here = made.servers[:2], made.servers[2:]
 
     async def command(*words: str, status: int = 0) -> str:
-        return await asyncio.to_thread(burlloom, "fleet", *words, "-o", here[0].folder / "operator.jsonnet", status=status)
+        return await asyncio.to_thread(burlloom, "fleet", *words, "-o", here[0].folder / "operator.jsonnet",
+            status=status)
     said = await command("show")
     assert f"{here[0].name}: share 6 of 24 calls, holding; dealt by n" in said and said.count(" alive ") == 4
     assert "n1: is alive to n2; say --force" in await command("forget", "n1", "nobody", status=2)
@@ -230,14 +235,17 @@
     ({"lease_ms": 1000}, "fleet: lease 1000 ms is under eight rounds of 200 ms"),
     ({"seeds": ["10.0.0.1:0"]}, "fleet: seeds: '10.0.0.1:0' is no IPv4 address with a port"),
     ({"services": ["10.0.0.1:80", "10.0.0.1:80"]}, "fleet: services: an address stands twice"),
-    ({"key_file": "none"}, "fleet: key_file: none: No such file or directory; `burlloom fleet key` makes one"),
-    ({"floor": 0.5}, "fleet.floor: "), ({"calls": 0}, "fleet.calls: "), ({"subsets": 3}, "fleet.subsets: unknown key"),
+    ({"key_file": "none"},
+    "fleet: key_file: none: No such file or directory; `burlloom fleet key` makes one"),
+    ({"floor": 0.5}, "fleet.floor: "), ({"calls": 0}, "fleet.calls: "),
+    ({"subsets": 3}, "fleet.subsets: unknown key"),
     ({"listen": "here:1"}, "fleet.listen: "),
 ])
 def test_files_that_can_not_be(tmp_path: Path, told: dict[str, Any], said: str) -> None:
     (tmp_path / "key").write_text(KEY)
     path = tmp_path / "operator.jsonnet"
-    path.write_text(json.dumps({"fleet": {"listen": "127.0.0.1:7946", "key_file": str(tmp_path / "key"), "calls": 10,
+    path.write_text(json.dumps({"fleet": {"listen": "127.0.0.1:7946", "key_file": str(tmp_path / "key"),
+        "calls": 10,
                                           "least": 2, **told}}))
     with pytest.raises(Faults) as refused:
         load(path)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,4 +1,5 @@
-"""Coming back: what a life left is judged, the ramp is bounded, retries are held, nothing is run twice. Processes at the end."""
+"""Coming back: what a life left is judged, the ramp is bounded, retries are held, nothing is run twice.
+Processes at the end."""
 
 import asyncio
 import json
@@ -36,16 +37,18 @@
     for _ in range(20_000):
         at = chance.randrange(len(text))
         spoilt = text[:at] + chr(chance.randrange(32, 127)) + text[at + 1:]
-        assert read(spoilt) in (KEPT, Verdict.TORN) and (read(spoilt) is Verdict.TORN or spoilt.split() == text.split())
+        assert read(spoilt) in (KEPT, Verdict.TORN) and (read(spoilt) is Verdict.TORN
+            or spoilt.split() == text.split())
     for text in ("", "null", "[]", "{}", "[" * 9000, '{"kept": 5, "sum": "x"}'):
         assert read(text) is Verdict.TORN
-    for told, now, verdict in ((KEPT, 6000, Verdict.GOOD), (replace(KEPT, node="n2"), 6000, Verdict.FOREIGN), (KEPT, 4999, Verdict.FUTURE), (KEPT, 99_000, Verdict.OLD)):
+    for told, now, verdict in ((KEPT, 6000, Verdict.GOOD), (replace(KEPT, node="n2"), 6000, Verdict.FOREIGN),
+            (KEPT, 4999, Verdict.FUTURE), (KEPT, 99_000, Verdict.OLD)):
         assert judge(told, "n1", now, 60_000) is verdict
 
 
 def test_the_start_walked_whole() -> None:
-    """Every sequence of what may be told: what is kept is used only where nothing spoke against it, and the fence
-    stands wherever a life is known whose marks may be lost."""
+    """Every sequence of what may be told: what is kept is used only where nothing spoke against it, and the
+    fence stands wherever a life is known whose marks may be lost."""
     met = set()
     for lonely, clean in product((False, True), repeat=2):
         for told in product(Input, repeat=4):
@@ -68,7 +71,8 @@
 
 
 def test_the_ramp_is_bounded_whatever_comes() -> None:
-    """All histories of 11 steps: never past twice for each step, never under the least, never up after a push in a step."""
+    """All histories of 11 steps: never past twice for each step, never under the least, never up after a push
+    in a step."""
     highest = [0.0] * 12
     for told in product(Push, repeat=11):
         ramp = Ramp(2.0, 1.0, 100, 0)
@@ -161,7 +165,8 @@
     (gone.folder / "kept").unlink()
     shutil.copy(older.folder / "older", older.folder / "kept")
     await asyncio.gather(*(server.begin() for server in killed))
-    await until(lambda: all("event=recovery-start" in server.log().rsplit("event=recovery ", 1)[-1] for server in killed))
+    await until(lambda: all("event=recovery-start" in server.log().rsplit("event=recovery ", 1)[-1]
+        for server in killed))
     assert made.worst <= 1.05 * made.calls
     for _ in range(40):
         await asyncio.sleep(0.25)
@@ -170,8 +175,10 @@
         assert made.worst <= 1.05 * made.calls
         made.again()
     await made.settles(full(made))
-    await until(lambda: all("event=recovery-over" in server.log().rsplit("event=recovery ", 1)[-1] for server in killed))
-    assert "kept=torn" in torn.log() and any("input=kept_bad effect=fence state=cold" in said for said in life(torn))
+    await until(lambda: all("event=recovery-over" in server.log().rsplit("event=recovery ", 1)[-1]
+        for server in killed))
+    assert "kept=torn" in torn.log() and any("input=kept_bad effect=fence state=cold" in said
+        for said in life(torn))
     assert any("input=said_lived effect=fence state=cold" in said for said in life(gone)), life(gone)
     assert any("input=said_later effect=fence state=cold" in said for said in life(older)), life(older)
     assert any("input=said_same effect=use state=warm" in said for said in life(whole)), life(whole)
@@ -179,7 +186,8 @@
 
 @fleet(3, calls=24, more=coming_back)
 async def test_retries_are_held_and_not_amplified(made: Fleet) -> None:
-    """Callers that try again at once and without end, marked: what is read of them is bounded until service is back."""
+    """Callers that try again at once and without end, marked: what is read of them is bounded until service
+    is back."""
     await made.settles(full(made))
     server = made.servers[1]
     await server.kill()
@@ -200,9 +208,11 @@
     assert int(held) >= 150
 
 
-@played(operator=lambda folder: {"record": {"sqlite": {"path": str(folder / "record.db")}}, **coming_back(folder)}, n_cores=4)
+@played(operator=lambda folder: {"record": {"sqlite": {"path": str(folder / "record.db")}},
+    **coming_back(folder)}, n_cores=4)
 async def test_a_lost_record_is_not_taken_for_a_new_one(rig: Rig) -> None:
-    """A charge ran; the store that knows is gone: its retry is voided, not run again. With the store it is settled."""
+    """A charge ran; the store that knows is gone: its retry is voided, not run again. With the store it is
+    settled."""
     async def charge(key: str) -> dict[str, str]:
         told = fields(once=key)
         answer = (await rig.balancer()).ask("pay", told, b"charge")
@@ -260,15 +270,16 @@
 
 @fleet(3, calls=24, more=recorded)
 async def test_charges_through_a_mass_kill(made: Fleet) -> None:
-    """Two of three are killed under charges, with one's kept file torn; their callers ask again, marked. No charge runs twice,
-    none that ran to its end is declined or answered otherwise, each has a final answer."""
+    """Two of three are killed under charges, with one's kept file torn; their callers ask again, marked. No
+    charge runs twice, none that ran to its end is declined or answered otherwise, each has a final answer."""
     runs: dict[bytes, int] = {}
     ended: set[bytes] = set()
     for server in made.servers:
         server.open_most = 5
         told = server.executor.callout
 
-        def begins(id: str, body: bytes = b"which", executor: Any = server.executor, told: Any = told) -> None:
+        def begins(id: str, body: bytes = b"which", executor: Any = server.executor,
+                told: Any = told) -> None:
             runs[executor.bodies[id]] = runs.get(executor.bodies[id], 0) + 1
             executor.keys = {**getattr(executor, "keys", {}), id: executor.bodies[id]}
             told(id, body)
@@ -305,7 +316,8 @@
         for _ in range(100):
             if said is not None and (said[0] is None or said[0][0] == "Voided"):
                 break
-            assert said is None or key not in ended or server not in killed or said[0][0] != "Backoff", (key, said)
+            assert said is None or key not in ended or server not in killed or said[0][0] != "Backoff", (key,
+                said)
             await asyncio.sleep(0.05)
             again = {**fields(once=told["once"]), "retry": "1"}
             if server.name not in balancers or balancers[server.name].ended.is_set():
@@ -315,7 +327,8 @@
         counts["settled" if said[0] is None else "voided"] += 1
         if said[0] is None:
             assert said[1][0] == b"receipt " + key
-    assert all(count == 1 for key, count in runs.items() if key), {key: count for key, count in runs.items() if count > 1}
+    assert all(count == 1 for key, count in runs.items() if key), {key: count for key, count in runs.items()
+        if count > 1}
     assert counts["settled"] > 20 and made.worst <= 1.05 * made.calls, counts
 
 
@@ -328,8 +341,10 @@
     assert "foreign" in burlloom_says("recovery", "show", "-o", path, "--node", "n2")
     kept.write_text(kept.read_text()[:-9])
     assert "torn: a cold start, and the fence" in burlloom_says("recovery", "show", "-o", path)
-    for told, fault in (({"state_file": "/none/kept"}, "recovery: state_file: the folder /none does not exist"),
-                        ({"begin": 0.6}, "recovery: begin_warm 0.5 is under begin, 0.6"), ({"fence": "no"}, "recovery.fence: "),
+    for told, fault in (({"state_file": "/none/kept"},
+            "recovery: state_file: the folder /none does not exist"),
+                        ({"begin": 0.6}, "recovery: begin_warm 0.5 is under begin, 0.6"),
+                        ({"fence": "no"}, "recovery.fence: "),
                         ({"retries": -1}, "recovery.retries: ")):
         path.write_text(json.dumps({"recovery": told}))
         assert fault in burlloom("check", "-o", path, status=2)
