--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -2,9 +2,9 @@
 
 A host makes one `Choice` for each life of a server, calls `begin`, and from then on hands it each thing
 that happens, in order and with the time: `arrived`, `ended`, `at_call`, `call_ended`, `left`, `leaving`,
-`woke` and, where they are on, `serve_at` for levels of reduced service and `share_calls` for a share of the
-calls that the fleet deals. Each acts at once through `interface.Effects`; the types are in `interface.py`,
-the reasons in `docs/design.md`. Read TABLE first: a txn in a state meets an input; the first row whose tests all hold
+`woke` and, where they are on, `serve_at` for levels of reduced service and `share_calls` for a share of
+the calls that the fleet deals. Each acts at once through `interface.Effects`; the types are in
+`interface.py`, the reasons in `docs/design.md`. Read TABLE first: a txn in a state meets an input; the first row whose tests all hold
 moves it and has its effect. Tests and effects are methods of `Choice`, or else of `interface.Effects`.
 """
 
@@ -230,7 +230,7 @@
         self.advance()
 
     def share_calls(self, now: int, share: float) -> None:
-        """Our share of the calls below from now on; above 0. Those in hand stay: more than it are not added to."""
+        """Our share of the calls below from now on, above 0. Those in hand stay; none is added past it."""
         self.tick(now)
         self.facts, self.call_most = replace(self.facts, calls_share=share), share
         self.call_limit = min(max(min(1.0, share), self.call_limit), share)
--- a/burlloom/server/fleeting.py
+++ b/burlloom/server/fleeting.py
@@ -1,4 +1,5 @@
-"""Between the server and the fleet: the datagrams, the share that the decisions are told, the services called.
+"""Between the server and the fleet: the datagrams, the share that the decisions are told, the services
+called.
 
 Where the fleet is off, `NoFleet` stands here, and nothing of it is imported.
 """
@@ -116,7 +117,8 @@
 class Fleeted:
     """`sock`: bound, for datagrams."""
 
-    def __init__(self, part: FleetPart, sock: socket.socket, name: str, seed: int, tasks: Tasks, recovery: Recovering) -> None:
+    def __init__(self, part: FleetPart, sock: socket.socket, name: str, seed: int, tasks: Tasks,
+            recovery: Recovering) -> None:
         from .. import fleet
         from ..catalogue.spread import Pools
         self.of, self.part, self.sock, self.tasks, self.clock = fleet, part, sock, tasks, since_start
@@ -124,7 +126,8 @@
         self.address = f"{host}:{port}"
         own = fleet.Word(name, part.advertise or self.address, recovery.life, 0, fleet.State.ALIVE)
         self.chance = Random(seed ^ own.life)
-        self.fleet = fleet.Fleet(own, (*part.seeds, *recovery.members), part.keys(), part.terms(), part.habits(), self.chance, self.clock())
+        self.fleet = fleet.Fleet(own, (*part.seeds, *recovery.members), part.keys(), part.terms(),
+            part.habits(), self.chance, self.clock())
         self.fleet.weight = int(part.weight * 1000)
         self.share, self.recovery = Share(self.fleet, recovery.cap), recovery
         self.transport: asyncio.DatagramTransport | None = None
@@ -144,7 +147,8 @@
         self.transport, _ = await loop.create_datagram_endpoint(lambda: Ear(self.hear), sock=self.sock)
         self.tasks.start(self.keep(), "fleet")
         log.info("event=fleet-open name=%s address=%s advertised=%s life=%d calls=%g least=%d services=%d",
-                 self.fleet.own.name, self.address, self.fleet.own.address, self.fleet.own.life, self.part.calls,
+                 self.fleet.own.name, self.address, self.fleet.own.address, self.fleet.own.life,
+                 self.part.calls,
                  self.part.least, len(self.part.services))
 
     def begin_desk(self, desk: Desk) -> None:
@@ -229,7 +233,8 @@
 
     def look_at_view(self) -> None:
         """The subsets follow the view, off the loop: with hundreds of servers they take some tens of ms."""
-        names = tuple(sorted({member.word.name for member in self.fleet.members.there()} | {self.fleet.own.name}))
+        names = tuple(sorted({member.word.name
+            for member in self.fleet.members.there()} | {self.fleet.own.name}))
         if not self.part.services or names == self.spread_over or self.spreading is not None:
             return
         self.spreading = self.tasks.start(self.spread_anew(names), "spread")
@@ -274,13 +279,15 @@
         return shares(self.fleet)
 
     def addresses(self) -> tuple[str, ...]:
-        return tuple(member.word.address for member in self.fleet.members.there() if member.word.name != self.fleet.own.name)
+        return tuple(member.word.address for member in self.fleet.members.there()
+            if member.word.name != self.fleet.own.name)
 
     # For operators.
 
     def write_state(self, now: int) -> None:
         assert self.part.state_file is not None
-        told = {"told_at": time.time_ns(), **self.of.summary(self.fleet, now), "subset": dict(self.turns.parts),
+        told = {"told_at": time.time_ns(), **self.of.summary(self.fleet, now),
+            "subset": dict(self.turns.parts),
                 "worst": self.worst}
         part = self.part.state_file + ".part"
         try:
@@ -294,9 +301,11 @@
         """For whoever reads metrics."""
         fleet = self.fleet
         states = [member.state.name.lower() for member in fleet.members]
-        return {"share": fleet.share / self.of.CALL, "state": float(fleet.holder.state), "deals": float(fleet.dealer.phase),
+        return {"share": fleet.share / self.of.CALL, "state": float(fleet.holder.state),
+            "deals": float(fleet.dealer.phase),
                 "strangers": float(fleet.strangers), "worst_load": self.worst,
-                **{f"members_{name}": float(states.count(name)) for name in ("alive", "suspect", "dead", "left")}}
+                **{f"members_{name}": float(states.count(name))
+                for name in ("alive", "suspect", "dead", "left")}}
 
     def close(self) -> None:
         """Our last word: what we held is free at once."""
@@ -307,7 +316,8 @@
             self.transport = None  # a tick may follow, and has nothing to say any more
         if self.exposed is not None:
             self.exposed.close()
-        log.info("event=fleet-closed %s", " ".join(f"{name}={count}" for name, count in asdict(self.fleet.counts).items()))
+        log.info("event=fleet-closed %s", " ".join(f"{name}={count}"
+            for name, count in asdict(self.fleet.counts).items()))
 
 
 def address_of(service: str) -> tuple[str, int]:
--- a/burlloom/server/recovering.py
+++ b/burlloom/server/recovering.py
@@ -1,4 +1,5 @@
-"""Between the server and its way back from a restart: the file that a life leaves, the ramp, the retries held back.
+"""Between the server and its way back from a restart: the file that a life leaves, the ramp, the retries held
+back.
 
 Where it is off, `NoRecovery` stands here, and nothing of it is imported.
 """
@@ -76,9 +77,11 @@
 
 
 class Recovered:
-    """`fleet` gives the server's fleet once there is one; `alone`: calls that we may have where there is none."""
+    """`fleet` gives the server's fleet once there is one; `alone`: calls that we may have where there is
+    none."""
 
-    def __init__(self, terms: Terms, name: str, clock: Callable[[], int], fleet: Callable[[], Fleeting], alone: float,
+    def __init__(self, terms: Terms, name: str, clock: Callable[[], int], fleet: Callable[[], Fleeting],
+            alone: float,
                  lonely: bool, state_file: Path | None) -> None:
         from .. import recovery
         self.of, self.name, self.clock, self.fleet, self.alone, self.state_file = recovery, name, clock, fleet, alone, state_file
@@ -138,13 +141,15 @@
         equal, share = shared if shared is not None else (self.alone, self.alone)
         if self.recovery.round(now, equal, share):
             cap = self.recovery.cap
-            log.info("event=recovery-cap calls=%.2f equal=%.2f ms=%d", min(cap, 1e9), equal, (now - self.recovery.began) // MS)
+            log.info("event=recovery-cap calls=%.2f equal=%.2f ms=%d", min(cap, 1e9), equal,
+                (now - self.recovery.began) // MS)
             if shared is None:
                 self.desk.share_calls(min(cap, self.alone))
         if self.recovery.over and self.holding:
             self.holding = False
             self.desk.hold_back(False)
-            log.warning("event=recovery-over ms=%d held_back=%d", (now - self.recovery.began) // MS, self.recovery.retries.refused)
+            log.warning("event=recovery-over ms=%d held_back=%d", (now - self.recovery.began) // MS,
+                self.recovery.retries.refused)
         self.say()
         if now - self.told_at >= TELL_EVERY and not self.closed:
             self.told_at = now
@@ -153,7 +158,8 @@
     def say(self) -> None:
         for what, effect in self.recovery.effects:
             # A few a life, in the very moment in which info lines are left out by the hundred.
-            log.warning("event=recovery-start input=%s effect=%s state=%s", what, effect, self.recovery.start.state.name.lower())
+            log.warning("event=recovery-start input=%s effect=%s state=%s", what, effect,
+                self.recovery.start.state.name.lower())
         self.recovery.effects = []
 
     def write(self, share: float, clean: bool) -> None:
