--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -4,8 +4,9 @@
 that happens, in order and with the time: `arrived`, `ended`, `at_call`, `call_ended`, `left`, `leaving`,
 `woke` and, where they are on, `serve_at` for levels of reduced service and `share_calls` for a share of
 the calls that the fleet deals. Each acts at once through `interface.Effects`; the types are in
-`interface.py`, the reasons in `docs/design.md`. Read TABLE first: a txn in a state meets an input; the first row whose tests all hold
-moves it and has its effect. Tests and effects are methods of `Choice`, or else of `interface.Effects`.
+`interface.py`, the reasons in `docs/design.md`. Read TABLE first: a txn in a state meets an input; the
+first row whose tests all hold moves it and has its effect. Tests and effects are methods of `Choice`, or
+else of `interface.Effects`.
 """
 
 from collections import OrderedDict, deque
