--- a/burlloom/fleet/deal.py
+++ b/burlloom/fleet/deal.py
@@ -25,6 +25,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from ..tables import rows
+
 CALL = 1000  # thousandths
 STICKS = 1500  # thousandths; see `turns`
 HEADROOM = 1.25  # of what a member uses: more is free for its next peak
@@ -358,16 +360,14 @@
 
 Test = Callable[[Dealer, int], bool]
 Effect = Callable[[Dealer, int], None]
-Rules = dict[tuple[Phase, Input], list[tuple[Test, Phase, Effect]]]
 
 
-def rules(table: str) -> Rules:
-    found: Rules = {}
-    for phase, what, test, after, effect in filter(None, map(str.split, table.split("\n"))):
-        passes: Test = (lambda dealer, now: True) if test == "-" else getattr(Dealer, test)
-        does: Effect = (lambda dealer, now: None) if effect == "-" else getattr(Dealer, effect)
-        found.setdefault((Phase[phase], Input[what]), []).append((passes, Phase[after], does))
-    return found
+def _test(name: str) -> Test:
+    return (lambda dealer, now: True) if name == "-" else getattr(Dealer, name)
+
+
+def _effect(name: str) -> Effect:
+    return (lambda dealer, now: None) if name == "-" else getattr(Dealer, name)
 
 
-RULES = rules(TABLE)
+RULES = rows(TABLE, Phase, Input, _test, _effect)
--- a/burlloom/fleet/hold.py
+++ b/burlloom/fleet/hold.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from enum import IntEnum
 
+from ..tables import rows
 from .deal import Terms
 
 
@@ -101,16 +102,14 @@
 
 Test = Callable[[Holder, int], bool]
 Effect = Callable[[Holder, int], None]
-Rules = dict[tuple[State, Input], list[tuple[Test, State, Effect]]]
 
 
-def rules(table: str) -> Rules:
-    found: Rules = {}
-    for state, what, test, after, effect in filter(None, map(str.split, table.split("\n"))):
-        passes: Test = (lambda holder, now: True) if test == "-" else getattr(Holder, test)
-        does: Effect = (lambda holder, now: None) if effect == "-" else getattr(Holder, effect)
-        found.setdefault((State[state], Input[what]), []).append((passes, State[after], does))
-    return found
+def _test(name: str) -> Test:
+    return (lambda holder, now: True) if name == "-" else getattr(Holder, name)
 
 
-RULES = rules(TABLE)
+def _effect(name: str) -> Effect:
+    return (lambda holder, now: None) if name == "-" else getattr(Holder, name)
+
+
+RULES = rows(TABLE, State, Input, _test, _effect)
--- a/burlloom/fleet/members.py
+++ b/burlloom/fleet/members.py
@@ -18,6 +18,8 @@
 
 import xxhash
 
+from ..tables import rows
+
 
 class State(IntEnum):
     """In the order in which a word of the same incarnation overrides another."""
@@ -231,17 +233,7 @@
 Effect = Callable[[Members, int, str, State, Word | None], None]
 EFFECTS: dict[str, Effect] = {"enter": Members.enter, "renew": Members.enter, "doubt": Members.doubt,
                               "bury": Members.doubt, "part": Members.doubt, "forget": Members.forget}
-Rules = dict[tuple[State, Input], list[tuple[Test, State, str]]]
-
-
-def rules(table: str) -> Rules:
-    found: Rules = {}
-    for state, what, test, after, effect in filter(None, map(str.split, table.split("\n"))):
-        found.setdefault((State[state], Input[what]), []).append((TESTS[test], State[after], effect))
-    return found
-
-
-RULES = rules(TABLE)
+RULES = rows(TABLE, State, Input, TESTS.__getitem__, str)
 
 
 def due(members: Iterable[Member], now: int, suspicion: int, forget: int) -> list[tuple[str, Input]]:
--- a/burlloom/recovery/ramp.py
+++ b/burlloom/recovery/ramp.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from enum import IntEnum
 
+from ..tables import rows
+
 
 class State(IntEnum):
     RISE = 0
@@ -94,15 +96,14 @@
 
 Test = Callable[[Ramp, int], bool]
 Effect = Callable[[Ramp, int], None]
-Rules = dict[tuple[State, Input], list[tuple[Test, State, Effect]]]
 
 
-def rules(table: str) -> Rules:
-    found: Rules = {}
-    for state, what, test, after, effect in filter(None, map(str.split, table.split("\n"))):
-        does: Effect = (lambda ramp, now: None) if effect == "-" else getattr(Ramp, effect)
-        found.setdefault((State[state], Input[what]), []).append((getattr(Ramp, test), State[after], does))
-    return found
+def _test(name: str) -> Test:
+    return (lambda ramp, now: True) if name == "-" else getattr(Ramp, name)
+
+
+def _effect(name: str) -> Effect:
+    return (lambda ramp, now: None) if name == "-" else getattr(Ramp, name)
 
 
-RULES = rules(TABLE)
+RULES = rows(TABLE, State, Input, _test, _effect)
--- a/burlloom/recovery/start.py
+++ b/burlloom/recovery/start.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from enum import IntEnum
 
+from ..tables import rows
 from .kept import Verdict
 
 
@@ -96,16 +97,10 @@
 
 
 Test = Callable[[Start], bool]
-Rules = dict[tuple[State, Input], list[tuple[Test, State, str]]]
 
 
-def rules(table: str) -> Rules:
-    found: Rules = {}
-    for state, what, test, after, effect in filter(None, map(str.split, table.split("\n"))):
-        passes: Test = (lambda start: True) if test == "-" else getattr(Start, test)
-        row = passes, State[after], "nothing" if effect == "-" else effect
-        found.setdefault((State[state], Input[what]), []).append(row)
-    return found
+def _test(name: str) -> Test:
+    return (lambda start: True) if name == "-" else getattr(Start, name)
 
 
-RULES = rules(TABLE)
+RULES = rows(TABLE, State, Input, _test, lambda name: "nothing" if name == "-" else name)
