Fleet and recovery without what nothing used; what is unknown is counted in one place

Read again: Dealer.stop did nothing, Dealer.turns, Recovery.full_at and Ramp.began were never read; free() and deal() counted the members of whom nothing is known each for itself.

--- a/burlloom/fleet/deal.py
+++ b/burlloom/fleet/deal.py
@@ -49,17 +49,17 @@
 TABLE = """
 IDLE     ROUND first        LEARNING begin
 IDLE     GAP   -            IDLE     -
-LEARNING ROUND not_first    IDLE     stop
+LEARNING ROUND not_first    IDLE     -
 LEARNING ROUND few          BOUND    bind
 LEARNING ROUND learned      DEALING  deal
-LEARNING GAP   -            IDLE     stop
-DEALING  ROUND not_first    IDLE     stop
+LEARNING GAP   -            IDLE     -
+DEALING  ROUND not_first    IDLE     -
 DEALING  ROUND few          BOUND    bind
 DEALING  ROUND -            DEALING  deal
-DEALING  GAP   -            IDLE     stop
-BOUND    ROUND not_first    IDLE     stop
+DEALING  GAP   -            IDLE     -
+BOUND    ROUND not_first    IDLE     -
 BOUND    ROUND many         LEARNING begin
-BOUND    GAP   -            IDLE     stop
+BOUND    GAP   -            IDLE     -
 """
 
 
@@ -151,10 +151,9 @@
         self.phase = Phase.IDLE
         self.since = self.turned = self.many_at = now
         self.hurried = False  # somebody wants far more than when we last dealt
-        self.accounts: dict[str, Account] = {}
+        self.accounts: dict[str, Account] = {}  # kept while another deals: old reports can't be played again
         self.fleet: Mapping[str, Present] = {}
         self.is_first, self.roster = False, 0
-        self.turns = 0
 
     # What the member calls.
 
@@ -170,7 +169,7 @@
                 del self.accounts[name]
         self.meet(now, Input.GAP if gap else Input.ROUND)
 
-    def report(self, now: int, name: str, life: int, number: int, told: "Told") -> int | None:
+    def report(self, now: int, name: str, life: int, number: int, told: Told) -> int | None:
         """The grant, thousandths; None: we don't deal, or it is of no use any more."""
         present, account = self.fleet.get(name), self.accounts.get(name)
         if self.phase is Phase.IDLE or present is None or life < present.life:
@@ -210,14 +209,18 @@
         return max(share, whole(min(account.target, held + max(0, self.free(now)))))
 
     def free(self, now: int) -> int:
-        """What is not bound by anyone. A member of whom nothing is known yet is bound by an equal share."""
+        """What is not bound by anyone."""
         equal = self.terms.equal(len(self.fleet))
         # Those who have not reported since we began to learn may have been raised by another.
         bound = sum(account.bound if account.at >= self.since else max(account.bound, equal)
                     for account in self.accounts.values())
-        unknown = sum(name not in self.accounts and not self.lost(now, present)
-            for name, present in self.fleet.items())
-        return self.terms.total - bound - unknown * equal
+        return self.terms.total - bound - self.unknown(now)
+
+    def unknown(self, now: int) -> int:
+        """What those may hold of whom nothing is known yet: an equal share each."""
+        count = sum(name not in self.accounts and not self.lost(now, present)
+                    for name, present in self.fleet.items())
+        return count * self.terms.equal(len(self.fleet))
 
     def lost(self, now: int, present: Present) -> bool:
         """Dead for so long that it is at its floor by itself. Told only where most of the fleet reports."""
@@ -275,9 +278,6 @@
         self.since = now
         self.turned = now - self.terms.turn
 
-    def stop(self, now: int) -> None:
-        pass  # what is known of reports so far keeps old ones from being played again
-
     def bind(self, now: int) -> None:
         self.since = now
 
@@ -287,14 +287,11 @@
         if now - self.turned < (self.terms.turn // 8 if self.hurried else self.terms.turn):
             return
         self.turned, self.hurried = now, False
-        self.turns += 1
         names = sorted(name for name, account in self.accounts.items()
             if now - account.at <= self.terms.lease)
         kept = sum(account.bound for name, account in self.accounts.items()
             if now - account.at > self.terms.lease)
-        unknown = sum(name not in self.accounts and not self.lost(now, one)
-            for name, one in self.fleet.items())
-        total = max(0, self.terms.total - kept - unknown * self.terms.equal(len(self.fleet)))
+        total = max(0, self.terms.total - kept - self.unknown(now))
         accounts = [self.accounts[name] for name in names]
         idle = int(self.terms.idle * self.terms.equal(len(self.fleet)))
         ideal = fair(total, [max(idle, account.told.want) for account in accounts],
--- a/burlloom/fleet/fleet.py
+++ b/burlloom/fleet/fleet.py
@@ -79,8 +79,7 @@
 
 class Fleet:
     def __init__(self, own: Word, seeds: tuple[str, ...], keys: tuple[bytes, ...], terms: Terms,
-            habits: Habits,
-                 chance: Random, now: int) -> None:
+                 habits: Habits, chance: Random, now: int) -> None:
         """`seeds`: addresses where others may be, our own may be among them. The first key seals."""
         self.terms, self.habits, self.chance, self.keys = terms, habits, chance, keys
         self.seeds = tuple(seed for seed in seeds if seed != own.address)
@@ -103,11 +102,11 @@
         self.report_number, self.report_at, self.asked_of, self.born = -1, now, "", now
         self.roster = 0
         self.former = 0  # the latest life of our name before this one that others knew, Unix ms
-        self.formers: dict[str,
-            tuple[int, int]] = {}  # who was started again: the life before, and how often it is told
+        # Who was started again: the life before, and how often it is still told.
+        self.formers: dict[str, tuple[int, int]] = {}
         self.seen, self.first, self.present = -1, own, dict[str, Present]()
-        self.report_last, self.tied = -1, ("",
-            -1)  # our last report to another; who may count us still, and by which
+        self.report_last = -1  # our last report to another
+        self.tied = "", -1  # who may count us still, and by which report
         self.counted = False  # whether the one that we last reported to may count us among those who do
         self.strangers = 0  # members whose terms are not ours
 
--- a/burlloom/recovery/ramp.py
+++ b/burlloom/recovery/ramp.py
@@ -44,7 +44,7 @@
     def __init__(self, start: float, least: float, step: int, now: int) -> None:
         self.cap, self.least, self.step = max(start, least), least, step
         self.state = State.RISE
-        self.moved = self.began = now
+        self.moved = now
         self.most = float("inf")
 
     def round(self, now: int, what: Input, most: float) -> bool:
--- a/burlloom/recovery/recovery.py
+++ b/burlloom/recovery/recovery.py
@@ -50,7 +50,6 @@
         self.ramp: Ramp | None = None
         self.good = self.bad = 0
         self.stepped = now
-        self.full_at = 0
         self.warmed = False
         self.effects: list[tuple[str, str]] = []  # input and effect, until the host takes them
         self.told(OF_VERDICT[self.verdict], now)
@@ -107,8 +106,6 @@
                 Push.PUSHED if self.bad >= PUSHED_FROM * calls else Push.WELL)
         changed = self.ramp.round(now, what, max(share, equal))
         self.stepped, self.good, self.bad = now, 0, 0
-        if self.ramp.full:
-            self.full_at = now
         return changed
 
     @property
