Recovery: a file that is too old raises the fence too, unless the life drained

Seen on reading: with a full disk the state file stops being written while the server lives; after a crash it is judged old, and the fence did not stand, so a marked retry of a charge that ran seconds before could run again. The row READING KEPT_OLD had no effect; it has fence_unclean now. The walk of the start asserts it and fails on the old row.

--- a/burlloom/command/recovery.py
+++ b/burlloom/command/recovery.py
@@ -11,7 +11,7 @@
 MEANS = {"good": "peers and the store are asked; then its hints are used", "missing": "a cold start",
          "torn": "a cold start, and the fence", "foreign": "of another name: a cold start, and the fence",
          "future": "told later than now, a clock was stepped: a cold start, and the fence",
-         "old": "a cold start"}
+         "old": "a cold start; the fence, unless it drained"}
 
 
 @click.group()
--- a/burlloom/recovery/start.py
+++ b/burlloom/recovery/start.py
@@ -38,7 +38,7 @@
 TABLE = """
 READING KEPT_GOOD    -      ASKING fence_unclean
 READING KEPT_BAD     -      COLD   fence
-READING KEPT_OLD     -      COLD   -
+READING KEPT_OLD     -      COLD   fence_unclean
 READING KEPT_NONE    -      COLD   -
 ASKING  SAID_SAME    -      WARM   use
 ASKING  SAID_LATER   -      COLD   fence
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -61,6 +61,8 @@
                 assert start.state is State.WARM and told[0] is Input.KEPT_GOOD or Input.KEPT_GOOD in told
                 after = told[told.index(Input.KEPT_GOOD):]
                 assert not against & set(after), told
+            if told[0] is Input.KEPT_OLD and not clean:
+                assert start.fenced_until >= 100, told
             if told[0] is Input.KEPT_GOOD and (not clean or against & set(told[1:])):
                 assert start.fenced_until >= 100, told
             if told[0] is Input.KEPT_BAD or told[0] is Input.KEPT_NONE and Input.SAID_LIVED in told:
