Rollout: evidence reaches back as far as it must, unwell servers speak against a release; releases in the lab

Seen in the lab: a canary that voided 13 of its 37 txns was sent nobody any more, and the wave halted 60 s later for want of 60 txns. A window of fixed length never had enough where traffic is low; and one that is not well was left out of the evidence, with what spoke against it. Now the window reaches back until enough was asked, bad is said on few txns where chance can't do it (five at least), and looks at servers that are not well count.

--- a/burlloom/lab/emulator.py
+++ b/burlloom/lab/emulator.py
@@ -17,6 +17,7 @@
 from ..server.leveling import Leveling
 from ..server.recording import Keeping
 from ..server.recovering import Recovering
+from ..server.rolling import Rolling
 from .below import Catalogue
 from .callers import Balancer
 from .clock import SimulatedLoop, simulated
@@ -75,6 +76,13 @@
     def fleeting(self, node: Node) -> Callable[[Server], Fleeting]: ...
 
 
+class Rolls(Protocol):
+    """What agrees on the nodes' releases, and when a new process is there."""
+
+    def rolling(self, node: Node) -> Callable[[Server], Rolling]: ...
+    def restarts(self) -> float: ...
+
+
 class Emulator:
     """One play of a world. `keeping` gives each server its record, `leveling` its levels of reduced
     service."""
@@ -82,7 +90,8 @@
     def __init__(self, world: World, loop: SimulatedLoop, keeping: Callable[[Server], Keeping] | None = None,
                  leveling: Callable[[Server], Leveling] | None = None, watch: Watch | None = None,
                  fleets: Callable[["Emulator"], Fleets] | None = None,
-                 recovering: Callable[[Server], Recovering] | None = None) -> None:
+                 recovering: Callable[[Server], Recovering] | None = None,
+                 rolls: Callable[["Emulator"], Rolls] | None = None) -> None:
         self.world, self.loop, self.keeping, self.leveling, self.watch = world, loop, keeping, leveling, watch or Watch()
         self.recovering = recovering
         self.fleets = fleets(self) if fleets is not None else None
@@ -110,6 +119,7 @@
         self.lost: list[Counter[str]] = [Counter() for _ in world.products]  # why, by product
         self.sizes_most: Counter[str] = Counter()
         self.series: list[dict[str, float]] = []
+        self.rolls = rolls(self) if rolls is not None else None
 
     # What the parts ask.
 
@@ -314,7 +324,8 @@
         if node.life == life and node.up:
             self.loop.call_soon(node.stop, False)
             if comes_back:
-                self.loop.call_later(RESTARTING, node.start, True)
+                again = self.rolls.restarts() if self.rolls is not None else RESTARTING
+                self.loop.call_later(again, self.come_back, [node])
 
     def outcome(self, took: float) -> Outcome:
         products = self.world.products
@@ -336,14 +347,15 @@
 def play(world: World, keeping: Callable[[Server], Keeping] | None = None,
          leveling: Callable[[Server], Leveling] | None = None, watch: Watch | None = None,
          fleets: Callable[[Emulator], Fleets] | None = None,
-         recovering: Callable[[Server], Recovering] | None = None) -> Outcome:
+         recovering: Callable[[Server], Recovering] | None = None,
+         rolls: Callable[[Emulator], Rolls] | None = None) -> Outcome:
     """Plays it to its end. The same world gives the same outcome, to the last figure but `took`."""
     began = time.perf_counter()
     before = logging.root.manager.disable
     logging.disable(logging.WARNING)  # thousands of lives in one log tell nothing
     try:
         with simulated() as loop:
-            fleet = Emulator(world, loop, keeping, leveling, watch, fleets, recovering)
+            fleet = Emulator(world, loop, keeping, leveling, watch, fleets, recovering, rolls)
             loop.run_until_complete(fleet.play())
             outcome = fleet.outcome(time.perf_counter() - began)
             for node in fleet.nodes:
--- a/burlloom/lab/node.py
+++ b/burlloom/lab/node.py
@@ -48,6 +48,7 @@
         self.attempts: dict[str, "Attempt"] = {}
         self.booked = 0.0  # KB of what was read and is not answered
         self.reading = 0
+        self.version, self.fails = "", 0.0  # the release that it runs, and the share of runs that fail by that
 
     def start(self, cold: bool) -> None:
         fleet, told = self.fleet, self.fleet.world.machines
@@ -64,7 +65,8 @@
         with socket.socket() as listener:
             server = self.server = Server(orders, listener, fleet.keeping, fleet.leveling,
                                           fleet.fleets.fleeting(self) if fleet.fleets is not None else None,
-                                          fleet.recovering)
+                                          fleet.recovering,
+                                          fleet.rolls.rolling(self) if fleet.rolls is not None else None)
         server.reports.sock.close()
         server.clock = server.front.clock = loop.wall  # type: ignore[assignment]
         server.front.listener = None
@@ -83,6 +85,8 @@
 
     def ended(self, life: int, id: str, end: End, took: int, result: bytes) -> None:
         if life == self.life and self.up and self.server is not None:
+            if self.fails and end is End.PASS and self.fleet.fault_chance.random() < self.fails:
+                end, result = End.FAIL, b""
             if end is End.PASS:
                 self.fleet.rules.makes(id, result)
             self.server.run_ended(id, end, took, result)
@@ -154,6 +158,8 @@
         self.executor.stop()
         if not killed:
             self.server.fleet.close()
+            if self.fleet.rolls is not None:
+                self.fleet.loop.create_task(self.server.rolling.close())
         for task in list(self.server.tasks.running):
             task.cancel()
         self.server = None
--- a/burlloom/rollout/judge.py
+++ b/burlloom/rollout/judge.py
@@ -4,18 +4,23 @@
 both. Three shares are held against each other: declined, voided, settled after the SLA time. One is worse where it is
 larger by `margin` at least and by more than chance makes of it: a one-sided test of two proportions (as in
 Fleiss, "Statistical Methods for Rates and Proportions", 1981), with a bound far out, since it is asked anew each
-round.
+round. And one that is not well is sent nobody, so nothing speaks against it but that: it is held against the others
+too.
 """
 
 from collections import deque
 from dataclasses import dataclass
 from enum import IntEnum
 from math import sqrt
+from typing import NamedTuple
 
 from .plan import Rates
 from .watch import Counts
 
 
+FEW_BAD = 5  # txns: one or two that fail by chance are a large share of a few
+
+
 class Verdict(IntEnum):
     MORE = 0  # too few txns to tell
     GOOD = 1
@@ -24,8 +29,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Measure:
-    """`span`: ns that count. `least`: txns of the changed, before anything is said of them. `margin`: of a
-    share; `sigmas`: how far out. `worst`: a share of the changed that is bad whatever the others do."""
+    """`span`: ns that count at least. `least`: txns of the changed, before they are good. `margin`: of a
+    share; `sigmas`: how far out. `worst`: a share of the changed that is bad, unless the others do as badly."""
 
     span: int = 30_000_000_000
     least: int = 100
@@ -40,37 +45,66 @@
     why: str = ""
 
 
+class Side(NamedTuple):
+    """What one side was asked, and in how many looks at one of its servers it was not `well`."""
+
+    counts: Counts = Counts()
+    looks: int = 0
+    unwell: int = 0
+
+    def plus(self, other: "Side") -> "Side":
+        return Side(self.counts.plus(other.counts), self.looks + other.looks, self.unwell + other.unwell)
+
+    def less(self, other: "Side") -> "Side":
+        return Side(self.counts.less(other.counts), self.looks - other.looks, self.unwell - other.unwell)
+
+    @property
+    def ails(self) -> float:
+        return self.unwell / max(1, self.looks)
+
+
+class Look(NamedTuple):
+    """At one server, in service."""
+
+    life: int
+    counts: Counts
+    changed: bool
+    well: bool = True
+
+
 class Evidence:
-    """What was counted on both sides, over the last `span`. A server counts from a moment at which it was in
-    service to the next, if it lived through it."""
+    """What was counted on both sides, over the last `span`; further back, up to `longest`, as long as the changed were
+    asked for under `least` txns. A server counts from a look at which it was in service to the next, if it lived
+    through it."""
 
-    def __init__(self, span: int) -> None:
-        self.span = span
-        self.last: dict[str, tuple[int, Counts]] = {}
-        self.rounds: deque[tuple[int, Counts, Counts]] = deque()
+    def __init__(self, span: int, least: int, longest: int) -> None:
+        self.span, self.least, self.longest = span, least, longest
+        self.last: dict[str, Look] = {}
+        self.rounds: deque[tuple[int, Side, Side]] = deque()
+        self.changed, self.others = Side(), Side()
+        self.whole = False  # whether a whole span was looked at
 
     def clear(self) -> None:
         self.last.clear()
         self.rounds.clear()
+        self.changed, self.others, self.whole = Side(), Side(), False
 
-    def add(self, now: int, serving: dict[str, tuple[int, Counts, bool]]) -> None:
-        """`serving`: by name its life, its counts, whether it is changed."""
-        sides = [Counts(), Counts()]
-        for name, (life, counts, changed) in serving.items():
+    def add(self, now: int, looks: dict[str, Look]) -> None:
+        sides = [Side(), Side()]
+        for name, look in looks.items():
             before = self.last.get(name)
-            if before is not None and before[0] == life:
-                sides[changed] = sides[changed].plus(counts.less(before[1]))
-        self.last = {name: (life, counts) for name, (life, counts, _) in serving.items()}
+            asked = look.counts.less(before.counts) if before is not None and before.life == look.life else Counts()
+            sides[look.changed] = sides[look.changed].plus(Side(asked, 1, not look.well))
+        self.last = looks
         self.rounds.append((now, sides[1], sides[0]))
-        while self.rounds[0][0] <= now - self.span:
+        self.changed, self.others = self.changed.plus(sides[1]), self.others.plus(sides[0])
+        while (at := self.rounds[0][0]) <= now - self.span:
+            self.whole = True
+            _, changed, others = self.rounds[0]
+            if self.changed.counts.asked - changed.counts.asked < self.least and at > now - self.longest:
+                break
             self.rounds.popleft()
-
-    def sides(self) -> tuple[Counts, Counts]:
-        """Of the changed, of the others."""
-        changed, others = Counts(), Counts()
-        for _, one, other in self.rounds:
-            changed, others = changed.plus(one), others.plus(other)
-        return changed, others
+            self.changed, self.others = self.changed.less(changed), self.others.less(others)
 
 
 def rates(counts: Counts) -> Rates:
@@ -78,25 +112,25 @@
     return Rates(counts.declined / asked, counts.voided / asked, counts.late / max(1, counts.settled), counts.asked)
 
 
-def judge(measure: Measure, changed: Counts, others: Counts, reference: Rates | None) -> Found:
+def judge(measure: Measure, evidence: Evidence, reference: Rates | None) -> Found:
     """`reference`: what the others did while there were enough of them; in their place where they are few."""
-    if changed.asked < measure.least:
-        return Found(Verdict.MORE)
-    mine, its = rates(changed), rates(others)
-    if others.asked < measure.least:
+    changed, others = evidence.changed, evidence.others
+    if evidence.whole and changed.looks and changed.ails >= measure.worst and others.ails < measure.worst / 2:
+        return Found(Verdict.BAD, f"not well in {changed.ails:.0%} of looks, the others in {others.ails:.0%}")
+    mine, its = rates(changed.counts), rates(others.counts)
+    if others.counts.asked < measure.least:
         its = reference or Rates(asked=0)
     for name in ("declined", "voided", "late"):
         share, usual = getattr(mine, name), getattr(its, name)
-        count = changed.settled if name == "late" else changed.asked
-        if share >= measure.worst and count >= measure.least and (usual < measure.worst or not its.asked):
-            return Found(Verdict.BAD, f"{name} {share:.1%} of {count}")
-        if its.asked and worse(measure, share, count, usual, its.asked):
+        count = changed.counts.settled if name == "late" else mine.asked
+        worst = count >= measure.least and share >= measure.worst and (usual < measure.worst or not its.asked)
+        if worst or its.asked and worse(measure, share, count, usual, its.asked):
             return Found(Verdict.BAD, f"{name} {share:.1%} of {count}, the others {usual:.1%} of {its.asked}")
-    return Found(Verdict.GOOD)
+    return Found(Verdict.GOOD if changed.counts.asked >= measure.least else Verdict.MORE)
 
 
 def worse(measure: Measure, share: float, count: int, usual: float, of: int) -> bool:
-    if not count or share - usual < measure.margin:
+    if share * count < FEW_BAD or share - usual < measure.margin:
         return False
     pooled = (share * count + usual * of) / (count + of)
     spread = sqrt(pooled * (1 - pooled) * (1 / count + 1 / of))
--- a/burlloom/rollout/lead.py
+++ b/burlloom/rollout/lead.py
@@ -13,7 +13,7 @@
 
 from . import plan as plans
 from .book import SERVERS, Book, Budget
-from .judge import Evidence, Measure, Verdict, judge, rates
+from .judge import Evidence, Look, Measure, Verdict, judge, rates
 from .plan import Phase, Plan
 from .units import Input, State, Unit
 from .watch import SECOND, Member, Says, Watch
@@ -62,7 +62,8 @@
     def __init__(self, name: str, terms: Terms, budgets: Mapping[str, Budget] | None = None,
                  services: Mapping[str, Sequence[str]] | None = None) -> None:
         self.name, self.terms, self.budgets, self.services = name, terms, budgets or {}, services or {}
-        self.watch, self.evidence = Watch(terms.fresh), Evidence(terms.measure.span)
+        self.watch = Watch(terms.fresh)
+        self.evidence = Evidence(terms.measure.span, terms.measure.least, max(terms.quiet, terms.measure.span))
         self.judged: tuple[int, int, bool, int] | None = None  # which wave the evidence is of
         self.paused = False
         self.strangers: list[str] = []  # who told something once, is not in the book, and says nothing any more
@@ -182,9 +183,8 @@
         if judged != self.judged:
             self.evidence.clear()
             self.judged = judged
-        self.evidence.add(now, {name: (there[name].life, there[name].counts, book.done(unit))
-                                for name, unit in book.servers.items()
-                                if name in fresh and unit.state is State.IN and there[name].well})
+        self.evidence.add(now, {name: Look(there[name].life, there[name].counts, book.done(unit), there[name].well)
+                                for name, unit in book.servers.items() if name in fresh and unit.state is State.IN})
 
     def change(self, now: int, book: Book, lost: list[str]) -> Book:
         plan = book.plan
@@ -196,8 +196,7 @@
             if plan.lost > self.terms.lost_most:
                 return book.decide(plans.Input.LOST, "; ".join(lost)[:200])[0]
         if plan.phase is not Phase.BACKING:
-            changed, others = self.evidence.sides()
-            found = judge(self.terms.measure, changed, others, plan.reference)
+            found, others = judge(self.terms.measure, self.evidence, plan.reference), self.evidence.others.counts
             if found.verdict is Verdict.BAD:
                 return book.decide(plans.Input.BAD, found.why)[0]
             if plan.phase is Phase.JUDGING:
@@ -256,8 +255,7 @@
         return book
 
     def strained(self) -> bool:
-        changed, others = self.evidence.sides()
-        both = changed.plus(others)
+        both = self.evidence.changed.plus(self.evidence.others).counts
         return both.asked >= self.terms.measure.least and both.declined + both.voided > self.terms.pause_at * both.asked
 
     def tidy(self, book: Book, there: dict[str, Member]) -> None:
--- a/burlloom/server/rolling.py
+++ b/burlloom/server/rolling.py
@@ -8,7 +8,6 @@
 import asyncio
 import logging
 import os
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING, Protocol
@@ -20,7 +19,7 @@
 
 if TYPE_CHECKING:
     from ..metrics import Exposed
-    from ..operator import Rollout
+    from ..operator import RolloutPart
     from ..rollout import Hand, Lead, Says
     from ..rollout.stores import Page, Shelf
     from .fleeting import Fleeting
@@ -56,8 +55,8 @@
 class Host(Protocol):
     """The server, as far as it is asked."""
 
-    leaving: bool
-
+    @property
+    def leaving(self) -> bool: ...
     def well(self) -> bool: ...
     def ready(self) -> bool: ...
     def leave(self) -> None: ...
@@ -66,12 +65,15 @@
 class Rolled:
     """`version`: that we run; `terms` and the like stand in `part`."""
 
-    def __init__(self, part: Rollout, shelf: Shelf, name: str, version: str, products: tuple[Product, ...],
-                 clock: Callable[[], int], tasks: Tasks, host: Host, fleet: Callable[[], Fleeting]) -> None:
+    def __init__(self, part: RolloutPart, shelf: Shelf, name: str, version: str, products: tuple[Product, ...],
+                 clock: Callable[[], int], tasks: Tasks, host: Host, fleet: Callable[[], Fleeting],
+                 steady: Callable[[], int] = since_start) -> None:
+        """`clock`: Unix ns; `steady`: ns of one that nobody sets."""
         from .. import rollout
         from ..rollout import stores
         self.of, self.stores, self.part, self.shelf, self.name, self.version = rollout, stores, part, shelf, name, version
         self.products, self.clock, self.tasks, self.host, self.fleet = products, clock, tasks, host, fleet
+        self.steady = steady
         self.life = self.beat = self.told_at = self.heeded = self.ends = 0
         self.counts = [0, 0, 0, 0]  # settled, late, declined, voided
         self.hand: Hand | None = None
@@ -126,7 +128,7 @@
             return
         if not self.life:
             await self.shelf.open()
-            self.life = max(time.time_ns() // MS, await self.shelf.life(self.name) + 1)
+            self.life = max(self.clock() // MS, await self.shelf.life(self.name) + 1)
             self.hand = self.of.Hand(self.name, self.life)
             if self.part.leads:
                 self.lead = self.of.Lead(f"{self.name}/{self.life}", self.part.terms(), self.part.budgets(),
@@ -149,7 +151,7 @@
         return says.LEAVING if self.host.leaving else says.SERVING if self.host.ready() else says.STARTING
 
     async def tell(self) -> None:
-        now, says = since_start(), self.says()
+        now, says = self.steady(), self.says()
         if says == self.said and now - self.told_at < self.part.beat_ms * MS:
             return
         self.beat += 1
@@ -203,7 +205,7 @@
 
     async def go_first(self, lead: Lead, page: Page) -> None:
         from ..rollout.stores.leading import led
-        for step, said in await led(lead, self.shelf, page, since_start()):
+        for step, said in await led(lead, self.shelf, page, self.steady()):
             log.info("event=rollout-step step=%d said=%r", step, said)
 
     def gauges(self) -> dict[str, float]:
--- a/tests/rollout_rig.py
+++ b/tests/rollout_rig.py
@@ -32,19 +32,26 @@
     def __init__(self, rollout: "Rollout", name: str, **part: Any) -> None:
         folder = rollout.folder / name
         folder.mkdir(exist_ok=True)
-        self.rollout, self.down_s, self.dead = rollout, 0.05, False
+        self.rollout, self.down_s, self.dead, self.retired = rollout, 0.05, False, False
         self.version, self.out, self.place, self.ready, self.log_at = "v1", True, 0, False, 0
         self.clients, self.tasks = list[Client](), list[asyncio.Task[None]]()
         self.settled, self.marks = 0, dict[str, str]()
         super().__init__(folder, name=name, catalogue=rollout.services[0], n_cores=32, memory_kb=400000,
                          calls_out=64, aim=2000000, deadline=5000000, stop_ms=3000)
-        self.operator = {"rollout": {**QUICK, "release_file": str(folder / "release"), **rollout.part, **part},
-                         **rollout.more(self)}
+        self.own = part
+        self.operator = {"rollout": self.part(), **rollout.more(self)}
+
+    def part(self) -> dict[str, Any]:
+        return {**QUICK, "release_file": str(self.folder / "release"), **self.rollout.part, **self.own}
 
     async def begin(self) -> None:
         self.before = f"BURLLOOM_RELEASE={self.version};export BURLLOOM_RELEASE;"
         self.ready = False
-        await super().begin()
+        try:
+            await super().begin()
+        except AssertionError:
+            assert self.process.returncode == 0, self.log()  # sent out again before it was fully up
+            return
         self.out, self.ready = False, True
 
     async def platform(self) -> None:
@@ -78,12 +85,18 @@
             name, id, *_ = await self.executor.commands.get()
             if name == "EXEC":
                 self.rollout.runs[self.executor.bodies[id]] += 1
-                asyncio.get_running_loop().call_later(0.005, self.end, id)
+                if self.rollout.fleet:
+                    self.executor.callout(id)
+                    continue
+            asyncio.get_running_loop().call_later(self.rollout.run_s, self.end, id)
 
     def end(self, id: str) -> None:
         bad = self.version in self.rollout.bad and self.rollout.chance.random() < 0.5
         self.executor.exit(id, "FAIL" if bad else "PASS", b"made")
 
+    def signal(self, what: signal.Signals) -> None:
+        self.process.send_signal(what)
+
     async def ends(self) -> None:
         for task in self.tasks:
             task.cancel()
@@ -135,13 +148,16 @@
     """`store`: that all servers agree in. `more`: further parts of a server's file."""
 
     def __init__(self, folder: Path, most: int = 1, store: dict[str, Any] | None = None, services: int = 1,
-                 more: Callable[[Node], dict[str, Any]] = lambda node: {}, **part: Any) -> None:
-        self.folder, self.most, self.more = folder, most, more
+                 fleet: bool = False, **part: Any) -> None:
+        """`fleet`: the servers spread their calls over the services, which are instances of `db`."""
+        self.folder, self.most, self.fleet = folder, most, fleet
+        self.more: Callable[[Node], dict[str, Any]] = self.joined
         self.part = {"store": store or {"sqlite": {"path": str(folder / "agreed.db")}}, "out_most": most,
                      "waves": [1, "50%", "100%"], **part}
         self.services = [Catalogue(self.reply) for _ in range(services)]
         self.nodes: list[Node] = []
         self.bad: set[str] = set()
+        self.run_s = 0.005
         self.chance = Random(1)
         self.runs, self.receipts, self.said = Counter[bytes](), Counter[bytes](), Counter[str]()
         self.asked = self.unanswered = self.worst = self.over = self.ends = 0
@@ -149,11 +165,20 @@
         self.drivers: list[asyncio.subprocess.Process] = []
 
     async def reply(self, id: str) -> Any:
+        await asyncio.sleep(0.02 if self.fleet else 0)
         return 200, False, b"fetched"
 
+    def joined(self, node: Any) -> dict[str, Any]:
+        if not self.fleet:
+            return {}
+        key = self.folder / "key"
+        key.write_text("6b" * 32)
+        return {"fleet": {"listen": "127.0.0.1:0", "key_file": str(key), "calls": 100, "least": 1,
+                          "services": [service.address for service in self.services]}}
+
     @property
     def out(self) -> int:
-        return sum(node.out for node in self.nodes)
+        return sum(node.out and not node.retired for node in self.nodes)
 
     async def __aenter__(self) -> "Rollout":
         for service in self.services:
@@ -161,16 +186,20 @@
         return self
 
     async def begin(self, count: int, **part: Any) -> None:
+        if self.fleet:
+            self.part["below"] = {"db": {"addresses": [service.address for service in self.services]}}
         self.nodes = [Node(self, f"n{at}", **part) for at in range(count)]
         await asyncio.gather(*(node.__aenter__() for node in self.nodes))
         self.file = self.folder / "operator.jsonnet"
-        self.file.write_text(json.dumps({"rollout": {**QUICK, **self.part}}))
+        self.file.write_text(json.dumps({"rollout": {**QUICK, **self.part}, **self.joined(None)}))
         self.shelf: Shelf = shelf_of(load(self.file))
         await self.shelf.open()
         for node in self.nodes:
             node.tasks = [asyncio.create_task(node.platform()), asyncio.create_task(node.work()),
                           asyncio.create_task(self.calls(node))]
         self.tasks.append(asyncio.create_task(self.watch()))
+        if part.get("leads") is False:
+            await self.drive("first")
         await self.comes_to(lambda book: len(book.servers) == count and not book.groups["servers"].taken)
 
     async def calls(self, node: Node) -> None:
--- a/tests/test_rollout_core.py
+++ b/tests/test_rollout_core.py
@@ -10,7 +10,7 @@
 from burlloom.rollout import SERVERS, Book, Budget, Counts, Denied, Group, Lead, Measure, Member, Phase, Plan, Says, State
 from burlloom.rollout import Terms, Unit
 from burlloom.rollout import hand, plan, units
-from burlloom.rollout.judge import Verdict, judge, rates
+from burlloom.rollout.judge import Evidence, Look, Verdict, judge, rates
 from burlloom.rollout.plan import faults, wave_of
 from burlloom.rollout.stores import Unreadable, book_of, text_of
 from burlloom.rollout.units import Input, News
@@ -243,9 +243,15 @@
 def test_the_judge() -> None:
     measure = Measure(least=100)
 
-    def says(changed: Counts, others: Counts, reference: Counts | None = None) -> Verdict:
-        return judge(measure, changed, others, rates(reference) if reference else None).verdict
+    def says(changed: Counts, others: Counts, reference: Counts | None = None, well: bool = True) -> Verdict:
+        evidence = Evidence(10, 100, 50)
+        evidence.add(0, {"a": Look(1, Counts(), True), "b": Look(1, Counts(), False)})
+        evidence.add(20, {"a": Look(1, changed, True, well), "b": Look(1, others, False)})
+        return judge(measure, evidence, rates(reference) if reference else None).verdict
+    assert says(Counts(9), Counts(1000), well=False) is Verdict.BAD
     assert says(Counts(99), Counts(1000)) is Verdict.MORE
+    assert says(Counts(20, 0, 0, 4), Counts(10_000)) is Verdict.MORE
+    assert says(Counts(20, 0, 0, 9), Counts(10_000)) is Verdict.BAD  # few, but never by chance
     assert says(Counts(1000), Counts(1000)) is Verdict.GOOD
     assert says(Counts(900, 0, 0, 100), Counts(10_000)) is Verdict.BAD
     assert says(Counts(900, 0, 100, 0), Counts(9000, 0, 1000)) is Verdict.GOOD  # a crowd is on both sides
@@ -257,6 +263,16 @@
     assert says(Counts(400, 0, 600), Counts(400, 0, 600)) is Verdict.GOOD
 
 
+def test_evidence_reaches_as_far_back_as_it_must() -> None:
+    evidence = Evidence(10, 100, 50)
+    for at in range(100):
+        life = 1 if at < 90 else 2
+        evidence.add(at, {"a": Look(life, Counts(3 * at), True), "b": Look(1, Counts(at), False)})
+        total = [sum(side.counts.asked for _, *sides in evidence.rounds for side in sides[which:which + 1]) for which in (0, 1)]
+        assert [evidence.changed.counts.asked, evidence.others.counts.asked] == total
+        assert len(evidence.rounds) <= 50 and (at < 40 or evidence.changed.counts.asked >= 96), at
+
+
 def test_orders_that_can_not_be() -> None:
     book = Book(groups={SERVERS: Group(Budget(1), {"n1": Unit(State.IN, 1, version="v1")})})
     for order, said in ((lambda: Book().start("v2", (1.0,), False), "no server"),
