--- a/burlloom/rollout/judge.py
+++ b/burlloom/rollout/judge.py
@@ -19,6 +19,7 @@
 
 
 FEW_BAD = 5  # txns: one or two that fail by chance are a large share of a few
+PARTS, PARTS_BAD = 10, 4  # of a span: failures come in bursts, and one burst is no sign of a bad release
 
 
 class Verdict(IntEnum):
@@ -82,12 +83,13 @@
         self.last: dict[str, Look] = {}
         self.rounds: deque[tuple[int, Side, Side]] = deque()
         self.changed, self.others = Side(), Side()
+        self.beside = Side()  # of the others, in rounds in which one that is changed was looked at
         self.whole = False  # whether a whole span was looked at
 
     def clear(self) -> None:
         self.last.clear()
         self.rounds.clear()
-        self.changed, self.others, self.whole = Side(), Side(), False
+        self.changed, self.others, self.beside, self.whole = Side(), Side(), Side(), False
 
     def add(self, now: int, looks: dict[str, Look]) -> None:
         sides = [Side(), Side()]
@@ -98,6 +100,7 @@
         self.last = looks
         self.rounds.append((now, sides[1], sides[0]))
         self.changed, self.others = self.changed.plus(sides[1]), self.others.plus(sides[0])
+        self.beside = self.beside.plus(sides[0]) if sides[1].looks else self.beside
         while (at := self.rounds[0][0]) <= now - self.span:
             self.whole = True
             _, changed, others = self.rounds[0]
@@ -105,6 +108,12 @@
                 break
             self.rounds.popleft()
             self.changed, self.others = self.changed.less(changed), self.others.less(others)
+            self.beside = self.beside.less(others) if changed.looks else self.beside
+
+    def lasting(self, name: str) -> bool:
+        """Whether the changed failed so in several parts of a span, not in one burst."""
+        part = max(1, self.span // PARTS)
+        return len({at // part for at, changed, _ in self.rounds if getattr(changed.counts, name)}) >= PARTS_BAD
 
 
 def rates(counts: Counts) -> Rates:
@@ -114,7 +123,7 @@
 
 def judge(measure: Measure, evidence: Evidence, reference: Rates | None) -> Found:
     """`reference`: what the others did while there were enough of them; in their place where they are few."""
-    changed, others = evidence.changed, evidence.others
+    changed, others = evidence.changed, evidence.beside
     if evidence.whole and changed.looks and changed.ails >= measure.worst and others.ails < measure.worst / 2:
         return Found(Verdict.BAD, f"not well in {changed.ails:.0%} of looks, the others in {others.ails:.0%}")
     mine, its = rates(changed.counts), rates(others.counts)
@@ -124,7 +133,7 @@
         share, usual = getattr(mine, name), getattr(its, name)
         count = changed.counts.settled if name == "late" else mine.asked
         worst = count >= measure.least and share >= measure.worst and (usual < measure.worst or not its.asked)
-        if worst or its.asked and worse(measure, share, count, usual, its.asked):
+        if (worst or its.asked and worse(measure, share, count, usual, its.asked)) and evidence.lasting(name):
             return Found(Verdict.BAD, f"{name} {share:.1%} of {count}, the others {usual:.1%} of {its.asked}")
     return Found(Verdict.GOOD if changed.counts.asked >= measure.least else Verdict.MORE)
 
