Rollout: time without a look is nobody's silence; permits go back where a crash took the budget; forms of the book

Read against what a store that is away for a minute does: each server backed off up to 8 s between tries, and whoever led took all for silent when the store was back, which halts a good release. Tries stay within a quarter of fresh_ms now, and a gap in one's own looks counts for nobody. A life that left in good order and was back before anyone looked is no loss.

--- a/burlloom/command/rollout.py
+++ b/burlloom/command/rollout.py
@@ -119,13 +119,15 @@
 
 @rollout.command()
 @operator_option
-@click.argument("version")
+@click.argument("version", required=False, default="")
 @click.option("--wave", "waves", multiple=True, help="A number of servers, or a part such as 10%; the last is 100%. "
               "Else those of the operator's file.")
 @click.option("--auto-back/--no-auto-back", default=None, help="Whether a bad wave is taken back by itself.")
 @click.option("--restart", is_flag=True, help="Start all anew, also those that run this version.")
 def start(operator: Path | None, version: str, waves: tuple[str, ...], auto_back: bool | None, restart: bool) -> None:
-    """Bring VERSION to the whole fleet, in waves."""
+    """Bring VERSION to the whole fleet, in waves. With --restart it may be left out."""
+    if not version and not restart:
+        raise click.UsageError("which VERSION? Only with --restart may it be left out")
     from ..rollout.plan import wave_of
     _, part = part_of(operator)
     try:
--- a/burlloom/lab/rolls.py
+++ b/burlloom/lab/rolls.py
@@ -82,9 +82,8 @@
             return known is None or known.life <= member.life
         return bool(await self.way(step))
 
-    async def life(self, name: str) -> int:
-        known = self.told.get(name)
-        return known.life if known is not None else 0
+    async def last(self, name: str) -> Member | None:
+        return self.told.get(name)
 
     async def members(self) -> list[Member]:
         return list(self.told.values())
--- a/burlloom/rollout/book.py
+++ b/burlloom/rollout/book.py
@@ -17,6 +17,9 @@
 
 SERVERS = "servers"  # the group of ourselves; all others are services below
 NOTES_MOST = 40
+# Raised where an older program would lose something by writing the book anew; only in a release after one that
+# reads the new form already, as old and new run side by side in every release.
+FORM = 1
 
 
 class Denied(Exception):
@@ -62,6 +65,7 @@
     plan: Plan = Plan()
     groups: dict[str, Group] = field(default_factory=lambda: {SERVERS: Group()})
     notes: tuple[tuple[int, str], ...] = ()
+    form: int = FORM
 
     # What it shows.
 
@@ -170,15 +174,17 @@
     # Orders of an operator. Each raises `Denied`.
 
     def start(self, version: str, waves: tuple[plans.Wave, ...], auto: bool, restart: bool = False) -> "Book":
-        running = Counter(unit.version for unit in self.servers.values() if unit.version)
+        running = Counter(unit.version for unit in self.servers.values() if unit.version or restart)
         if not running:
-            raise Denied("no server is in the book yet")
+            raise Denied("no server tells its version: set `rollout.version` or BURLLOOM_RELEASE for each"
+                         if self.servers else "no server is in the book yet")
         if self.plan.phase is not Phase.IDLE:
             raise Denied(f"change {self.plan.number} to {self.plan.version} is {self.plan.phase.name.lower()}:"
                          " finish it, or roll it back")
         if wrong := plans.faults(waves):
             raise Denied("; ".join(wrong))
         former = self.good or running.most_common(1)[0][0]
+        version = version or former
         if not restart and all(unit.version == version for unit in self.servers.values()):
             raise Denied(f"all servers run {version}; --restart starts them anew all the same")
         plan = Plan(self.plan.number + 1, version=version, former=former, waves=waves, auto=auto, restart=restart)
--- a/burlloom/rollout/lead.py
+++ b/burlloom/rollout/lead.py
@@ -75,6 +75,7 @@
         """With us in the lead, where nobody has it or whoever had is gone."""
         if self.leads(book):
             return None
+        self.watch.begins(now)
         if book.holder and self.watch.age(now, "lead", (book.epoch, beat)) < self.terms.lead:
             return None
         taken = replace(book, holder=self.name, epoch=book.epoch + 1)
@@ -88,6 +89,7 @@
 
     def round(self, now: int, book: Book, members: Iterable[Member]) -> Book:
         """Of a book in which we lead. The same one where there is nothing to do."""
+        self.watch.begins(now)
         there = {member.name: member for member in members}
         fresh = {name for name, member in there.items() if self.watch.serves(now, member)}
         lost = []
@@ -101,6 +103,8 @@
                           if name not in book.servers and self.watch.silent(now, member)]
         self.weigh(now, book, there, fresh)
         book = self.change(now, book, lost)
+        for group in book.groups:
+            book = self.call_in(book, group)
         book = self.send_out(book, there, fresh)
         self.tidy(book, there)
         return book
@@ -112,6 +116,8 @@
         before = book.servers.get(name)
         what, life = heard(member, fresh, member is not None and self.watch.silent(now, member))
         effect = ""
+        if what is Input.SEEN and member is not None and before is not None and before.life == member.former:
+            book, _ = book.meet(SERVERS, name, Input.PARTS, life=member.former)  # it was back before we looked
         if what is not None:
             book, effect = book.meet(SERVERS, name, what, life=life)
         unit = book.servers.get(name)
@@ -226,6 +232,15 @@
 
     # Who may leave.
 
+    def call_in(self, book: Book, group: str) -> Book:
+        """Crashes have taken the budget since: permits that nobody has begun on yet go back."""
+        if book.plan.phase is Phase.BACKING:  # there those have permits that count anyway
+            return book
+        waiting = [name for name, unit in book.groups[group].units.items() if unit.state is State.GRANTED]
+        for name in waiting[:max(0, -book.groups[group].free())]:
+            book, _ = book.meet(group, name, Input.REVOKE)
+        return book
+
     def send_out(self, book: Book, there: dict[str, Member], fresh: set[str]) -> Book:
         """What an operator asked for first, then the change; in the same order on whoever leads."""
         serving = {name for name in fresh if there[name].well}
@@ -245,13 +260,18 @@
         # The way back also takes those that never got well with the new version.
         may = (State.IN, State.BACK, State.MISSING) if plan.backing else (State.IN,)
         started = sum(book.done(unit) or book.flying(unit) for unit in book.servers.values())
+        full: set[tuple[bool, bool]] = set()  # what was denied once is denied to all alike
         for name in sorted(book.servers, key=lambda name: (rank(plan.number, name), name)):
             unit = book.servers[name]
             if started >= plan.wanted(len(book.servers)) and not plan.backing:
                 break
-            if unit.state in may and not book.done(unit) and name in (fresh if plan.backing else serving):
+            alike = unit.state is State.IN, name in serving
+            if unit.state in may and alike not in full and not book.done(unit) and name in (
+                    fresh if plan.backing else serving):
                 book, held = send(book, SERVERS, name, plan.goal, plan.number)
                 started += held
+                if not held:
+                    full.add(alike)
         return book
 
     def strained(self) -> bool:
--- a/burlloom/rollout/stores/shelf.py
+++ b/burlloom/rollout/stores/shelf.py
@@ -4,7 +4,7 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from ..book import Book
+from ..book import FORM, Book
 from ..watch import Member
 
 
@@ -36,8 +36,8 @@
     async def beat(self, epoch: int) -> None: ...
     async def tell(self, member: Member) -> bool:
         """False: a later life has this name, and the word was not taken."""
-    async def life(self, name: str) -> int:
-        """The last that was told of; 0 if none was."""
+    async def last(self, name: str) -> Member | None:
+        """What was told under this name last."""
     async def members(self) -> list[Member]: ...
     async def forget(self, name: str) -> None: ...
     async def close(self) -> None: ...
@@ -55,7 +55,10 @@
 def book_of(text: str) -> Book:
     """Raises `Unreadable`."""
     try:
-        return BOOK.validate_json(text)
+        book = BOOK.validate_json(text)
+        if book.form > FORM:
+            raise Unreadable(f"the book has form {book.form}, written by a newer program; this one knows {FORM}")
+        return book
     except ValidationError as error:
         first = error.errors()[0]
         raise Unreadable(f"the book can't be read: {'.'.join(map(str, first['loc'])) or 'the whole'}: {first['msg']}"
--- a/burlloom/rollout/stores/tables.py
+++ b/burlloom/rollout/stores/tables.py
@@ -21,7 +21,7 @@
 TELL = ("INSERT INTO rollout_member (name, life, beat, text) VALUES ($1::text, $2::bigint, $3::bigint, $4::text)"
         " ON CONFLICT (name) DO UPDATE SET life = excluded.life, beat = excluded.beat, text = excluded.text"
         " WHERE rollout_member.life <= excluded.life RETURNING life")
-LIFE = "SELECT life FROM rollout_member WHERE name = $1::text"
+LAST = "SELECT text FROM rollout_member WHERE name = $1::text"
 MEMBERS = "SELECT text FROM rollout_member"
 FORGET = "DELETE FROM rollout_member WHERE name = $1::text RETURNING life"
 
@@ -59,8 +59,8 @@
     async def tell(self, member: Member) -> bool:
         return bool(await self.run(TELL, member.name, member.life, member.beat, text_of(member)))
 
-    async def life(self, name: str) -> int:
-        return next((int(row[0]) for row in await self.run(LIFE, name)), 0)
+    async def last(self, name: str) -> Member | None:
+        return next((member_of(row[0]) for row in await self.run(LAST, name)), None)
 
     async def members(self) -> list[Member]:
         found = []
--- a/burlloom/server/rolling.py
+++ b/burlloom/server/rolling.py
@@ -27,8 +27,7 @@
 log = logging.getLogger(__name__)
 
 RELEASE = "BURLLOOM_RELEASE"
-LAST_WORD = 1.0  # s that a way out may wait for the store
-AGAIN_MOST = 16  # polls between two tries at a store that is away
+LAST_WORD = 0.2  # s that a way out may wait for the store
 
 
 class Rolling(Protocol):
@@ -74,7 +73,7 @@
         self.of, self.stores, self.part, self.shelf, self.name, self.version = rollout, stores, part, shelf, name, version
         self.products, self.clock, self.tasks, self.host, self.fleet = products, clock, tasks, host, fleet
         self.steady = steady
-        self.life = self.beat = self.told_at = self.heeded = self.ends = 0
+        self.life = self.former = self.beat = self.told_at = self.heeded = self.ends = 0
         self.counts = [0, 0, 0, 0]  # settled, late, declined, voided
         self.hand: Hand | None = None
         self.lead: Lead | None = None
@@ -110,7 +109,8 @@
                     log.warning("event=rollout-away detail=%r", str(error))
                 self.away, self.page = str(error), None
                 self.steps["away"] += 1
-                wait = min(AGAIN_MOST, 2 * wait)
+                # Never so seldom that we are taken for silent because of it.
+                wait = min(max(1, self.part.fresh_ms // (4 * self.part.poll_ms)), 2 * wait)
                 await self.reopen()
             except Exception:
                 log.exception("event=fault side=rollout")
@@ -128,7 +128,10 @@
             return
         if not self.life:
             await self.shelf.open()
-            self.life = max(self.clock() // MS, await self.shelf.life(self.name) + 1)
+            last = await self.shelf.last(self.name)
+            if last is not None:
+                self.former = last.life if last.says is self.of.Says.LEAVING else 0
+            self.life = max(self.clock() // MS, last.life + 1 if last is not None else 0)
             self.hand = self.of.Hand(self.name, self.life)
             if self.part.leads:
                 self.lead = self.of.Lead(f"{self.name}/{self.life}", self.part.terms(), self.part.budgets(),
@@ -157,7 +160,7 @@
         self.beat += 1
         if not await self.shelf.tell(self.of.Member(
                 self.name, self.life, self.beat, says, self.host.well(), self.version, self.heeded,
-                self.of.Counts(*self.counts), self.fleet().reports())):
+                self.of.Counts(*self.counts), self.fleet().reports(), self.former)):
             self.outbid = True
             log.error("event=rollout-outbid name=%s: another server with this name was started after this one", self.name)
         self.said, self.told_at = says, now
--- a/tests/rollout_rig.py
+++ b/tests/rollout_rig.py
@@ -272,7 +272,10 @@
             await service.stop()
 
     def nothing_lost(self, killed: bool = False) -> None:
-        """Each txn has its answer, none ran twice, none is settled that did not run."""
+        """Each txn has its answer, none ran twice, none is settled that did not run. Prints the story's figures, for
+        `pytest -s`."""
+        print(f"\n| {len(self.nodes)} | {self.worst} of {self.most} | {self.over} | {self.ends} | {self.asked} |"
+              f" {dict(self.said)} | {self.unanswered} | {sum(count > 1 for count in self.runs.values())} |")
         assert killed or not self.unanswered, (self.unanswered, self.said)
         assert self.said["settled"] > 50, self.said
         assert not (twice := [body for body, count in self.runs.items() if count > 1]), twice
--- a/tests/test_rollout_core.py
+++ b/tests/test_rollout_core.py
@@ -205,6 +205,42 @@
     assert world.worst == 1 and world.book.good == "v2"
 
 
+def test_permits_go_back_where_a_crash_has_taken_the_budget() -> None:
+    world = World(6, Budget(2)).settled()
+    now = world.lead.round(world.now, world.book.start("v2", (1.0,), False), list(world.members.values()))
+    sent = [name for name, unit in now.servers.items() if unit.state is State.GRANTED]
+    gone = next(name for name in now.servers if name not in sent)
+    now = now.meet(SERVERS, gone, Input.SILENT)[0]
+    now = world.lead.round(world.now, now, [one for name, one in world.members.items() if name != gone])
+    assert len(sent) == 2 and [now.servers[name].state for name in sent].count(State.GRANTED) == 1
+
+
+def test_who_did_not_look_takes_nobody_for_silent() -> None:
+    """The store is away for a minute: nobody is missing because of that, nor sent out on what was seen before."""
+    world = World(4, Budget(1)).settled()
+    world.book = world.book.start("v2", (1.0,), False)
+    world.until(Phase.JUDGING)
+    world.now += 60 * S
+    after = world.lead.round(world.now, world.book, list(world.members.values()))
+    assert not after.groups[SERVERS].taken and after.plan.phase is not Phase.HALTED
+    other = world.new_lead("b")
+    assert other.take(world.now, after, 1) is None and other.take(world.now + 70 * S, after, 1) is None
+
+
+def test_a_life_that_left_in_good_order_is_no_loss() -> None:
+    for former, lost in ((1, False), (0, True)):
+        world = World(3, Budget(1)).settled()
+        world.book = replace(world.book.start("v2", (1.0,), False), groups=world.book.groups)
+        unit = replace(world.book.servers["n1"], moved=1, version="v2", to="v2")
+        world.book = world.book.put(SERVERS, "n1", unit)
+        world.members["n1"] = Member("n1", 2, 0, version="v2", former=former)
+        for beat in range(2):
+            world.now += S
+            members = [replace(one, beat=one.beat + 1 + beat) for one in world.members.values()]
+            world.book = world.lead.round(world.now, world.book, members)
+        assert (world.book.plan.phase is Phase.HALTED) is lost, world.book.notes
+
+
 def test_instances_below() -> None:
     below = ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
     lead = Lead("a", TERMS, {SERVERS: Budget(), "db": Budget(1)}, {"db": below})
@@ -279,7 +315,12 @@
 
 def test_orders_that_can_not_be() -> None:
     book = Book(groups={SERVERS: Group(Budget(1), {"n1": Unit(State.IN, 1, version="v1")})})
-    for order, said in ((lambda: Book().start("v2", (1.0,), False), "no server"),
+    bare = Book(groups={SERVERS: Group(Budget(1), {"n1": Unit(State.IN, 1)})})
+    assert bare.start("", (1.0,), False, True).plan.phase is Phase.ROLLING
+    with pytest.raises(Unreadable, match="newer program"):
+        book_of(text_of(replace(book, form=99)))
+    for order, said in ((lambda: Book().start("v2", (1.0,), False), "no server is in"),
+                        (lambda: bare.start("v2", (1.0,), False), "no server tells its version"),
                         (lambda: book.start("v1", (1.0,), False), "all servers run v1"),
                         (lambda: book.start("v2", (3, 2, 1.0), False), "waves: numbers first"),
                         (lambda: book.order(plan.Input.HALT, ""), "nothing to halt: change 0 is idle"),
