--- /dev/null
+++ b/benchmarks/rollout_core.py
@@ -0,0 +1,114 @@
+"""A fleet of the release's core alone, on a clock of its own; and what a round costs whoever leads.
+
+    python benchmarks/rollout_core.py [--sizes 30 300]
+"""
+
+import argparse
+import sys
+import time
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from burlloom.rollout import SERVERS, Book, Budget, Counts, Lead, Measure, Member, Phase, Terms, hand
+from burlloom.rollout.stores import book_of, text_of
+
+S = 1_000_000_000
+TERMS = Terms(measure=Measure(span=2 * S, least=50), quiet=60 * S, settle=S, write_off=0)
+
+
+class World:
+    """A fleet of the core alone: servers that do as the book lets them, on a clock of its own; `share`: of
+    txns that a version voids."""
+
+    def __init__(self, size: int, budget: Budget, terms: Terms = TERMS, seed: int = 1) -> None:
+        self.chance, self.now, self.terms = Random(seed), 0, terms
+        self.book, self.beat, self.budget = Book(), 0, budget
+        self.members = {f"n{at}": Member(f"n{at}", 1, 0, version="v1", counts=Counts()) for at in range(size)}
+        self.down: dict[str, int] = {}
+        self.voids: dict[str, float] = {}
+        self.frozen: set[str] = set()
+        self.lead = self.new_lead("a")
+        self.worst = 0
+
+    def new_lead(self, name: str) -> Lead:
+        return Lead(name, self.terms, {SERVERS: self.budget})
+
+    def second(self) -> None:
+        for _ in range(4):
+            self.now += S // 4
+            for name, member in self.members.items():
+                if name in self.frozen:
+                    continue
+                if name in self.down:
+                    if self.now >= self.down[name]:
+                        del self.down[name]
+                        self.members[name] = Member(
+                            name, member.life + 1, 0, version=self.book.version_of(name)
+                        )
+                    continue
+                bad = sum(self.chance.random() < self.voids.get(member.version, 0.0) for _ in range(10))
+                self.members[name] = replace(
+                    member, beat=member.beat + 1, counts=member.counts.plus(Counts(10 - bad, 0, 0, bad))
+                )
+                one = hand.Hand(name, member.life)
+                if one.reads(self.book) == "ask":
+                    self.book = one.step(self.book) or self.book
+                    self.down[name] = self.now + 2 * S
+            self.beat += self.lead.leads(self.book)
+            taken = self.lead.take(self.now, self.book, self.beat)
+            if taken is not None:
+                self.book = taken
+            elif self.lead.leads(self.book):
+                self.book = self.lead.round(self.now, self.book, list(self.members.values()))
+            self.worst = max(self.worst, len(self.down))
+
+    def until(self, phase: Phase, most: int = 2000) -> int:
+        """Seconds that it took."""
+        for at in range(most):
+            if self.book.plan.phase is phase:
+                return at
+            self.second()
+        raise AssertionError((self.book.plan, self.book.notes))
+
+    def settled(self) -> "World":
+        while len(self.book.servers) < len(self.members) or self.book.groups[SERVERS].taken:
+            self.second()
+        return self
+
+
+def cost(size: int) -> str:
+    world = World(size, Budget(share=0.1)).settled()
+    world.book = world.book.start("v2", (1, 0.1, 0.5, 1.0), False)
+    spans, of = [], world.lead.round
+
+    def timed(now: int, book: Book, members: list[Member]) -> Book:
+        began = time.perf_counter()
+        try:
+            return of(now, book, members)
+        finally:
+            spans.append(1000 * (time.perf_counter() - began))
+    world.lead.round = timed  # type: ignore[method-assign,assignment]
+    for _ in range(100):
+        world.second()
+    began = time.perf_counter()
+    text = text_of(world.book)
+    written = time.perf_counter()
+    book_of(text)
+    read = time.perf_counter()
+    return (f"| {size} | {sum(spans) / len(spans):.1f} | {max(spans):.0f} | {len(text) / 1000:.0f} |"
+            f" {1000 * (written - began):.1f} | {1000 * (read - written):.1f} |")
+
+
+def main() -> None:
+    asked = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    asked.add_argument("--sizes", type=int, nargs="+", default=[30, 300])
+    print("| servers | ms a round | most | KB of the book | ms to write | ms to read |")
+    for size in asked.parse_args().sizes:
+        print(cost(size))
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/rollout_waves.py
+++ b/benchmarks/rollout_waves.py
@@ -1,10 +1,11 @@
-"""Do drains and releases keep their budget, whatever fails? Simulated, 3, 30 and 300 servers, against plain scripts.
+"""Do drains and releases keep their budget, whatever fails? Simulated, 3, 30 and 300 servers, against plain
+scripts.
 
     python benchmarks/rollout_waves.py [--sizes 3 30] [--seeds 1 2 3] [--judge] [--walk]
 
-A release begins; while it goes on, a tenth of the servers is killed for some seconds, a second operator drains a
-tenth for work on their machines, and one step in fifty at the store is lost. Then a release that voids a share of
-what it runs. Processes take 0.5 to 8 s to be there again.
+A release begins; while it goes on, a tenth of the servers is killed for some seconds, a second operator
+drains a tenth for work on their machines, and one step in fifty at the store is lost. Then a release that
+voids a share of what it runs. Processes take 0.5 to 8 s to be there again.
 
 clock:   a script that restarts a tenth at a time, every 6 s.
 waiting: one that waits until each of a batch is up, for 20 s at the most. Both operators use the same script.
@@ -40,27 +41,68 @@
 
 
 def world(size: int, seed: int, seconds: int, kills: bool) -> World:
-    faults = [{"kind": "kill", "at_s": KILLED, "for_s": DOWN_FOR, "part": 0.1 if size > 3 else 0.34}] if kills else []
-    return World.model_validate({
-        "name": f"{size}", "seconds": seconds, "seed": seed,
-        "machines": {"count": size, "cores": 2, "memory_mb": 200, "warm_s": 4, "cold_from": 0.5, "grace_ms": 300,
-                     "stop_ms": 3000},
-        "products": [{"name": "look", "share": 0.7, "work_ms": 300, "sla_ms": 2400, "expiry_ms": 6000, "value": 1},
-                     {"name": "pay", "share": 0.3, "work_ms": 300, "sla_ms": 1600, "expiry_ms": 6000, "value": 5,
-                      "kind": "referenced", "window_ms": 17940}],
-        "tenants": [{"name": "acme", "share": 1}], "callers": {"count": 20}, "below": {"slots": 4 * size},
-        "load": {"low": 0.5, "high": 0.5}, "faults": faults})
+    faults = (
+        [{"kind": "kill", "at_s": KILLED, "for_s": DOWN_FOR, "part": 0.1 if size > 3 else 0.34}]
+        if kills
+        else []
+    )
+    return World.model_validate(
+        {
+            "name": f"{size}",
+            "seconds": seconds,
+            "seed": seed,
+            "machines": {
+                "count": size,
+                "cores": 2,
+                "memory_mb": 200,
+                "warm_s": 4,
+                "cold_from": 0.5,
+                "grace_ms": 300,
+                "stop_ms": 3000,
+            },
+            "products": [
+                {"name": "look", "share": 0.7, "work_ms": 300, "sla_ms": 2400, "expiry_ms": 6000, "value": 1},
+                {
+                    "name": "pay",
+                    "share": 0.3,
+                    "work_ms": 300,
+                    "sla_ms": 1600,
+                    "expiry_ms": 6000,
+                    "value": 5,
+                    "kind": "referenced",
+                    "window_ms": 17940,
+                },
+            ],
+            "tenants": [{"name": "acme", "share": 1}],
+            "callers": {"count": 20},
+            "below": {"slots": 4 * size},
+            "load": {"low": 0.5, "high": 0.5},
+            "faults": faults,
+        }
+    )
 
 
 def part() -> RolloutPart:
     # Store and process are the emulator's: spans are of seconds, as processes are quick here.
-    return RolloutPart(out_most=1, out_share=0.1, fresh_ms=3000, lead_ms=3000, permit_ms=4000, back_ms=20_000,
-                       settle_ms=4000, write_off_ms=0, judge_ms=4000, judge_least=60, quiet_ms=60_000, lost_most=1000)
+    return RolloutPart(
+        out_most=1,
+        out_share=0.1,
+        fresh_ms=3000,
+        lead_ms=3000,
+        permit_ms=4000,
+        back_ms=20_000,
+        settle_ms=4000,
+        write_off_ms=0,
+        judge_ms=4000,
+        judge_least=60,
+        quiet_ms=60_000,
+        lost_most=1000,
+    )
 
 
 class Seen:
-    """Looked at each 50 ms: `most` out at once by anyone's doing; `over`: drains begun while as many as allowed, or
-    more, were out; `unseen`: of these, those within a sign of life's time of a kill."""
+    """Looked at each 50 ms: `most` out at once by anyone's doing; `over`: drains begun while as many as
+    allowed, or more, were out; `unseen`: of these, those within a sign of life's time of a kill."""
 
     def __init__(self, releases: Releases, bound: int) -> None:
         self.releases, self.bound = releases, bound
@@ -83,7 +125,11 @@
         now = releases.emulator.loop.now
         if self.done_at < 0 and all(node.up and node.version == "v2" for node in releases.emulator.nodes):
             self.done_at = now - BEGIN
-        if isinstance(releases, Agreed) and self.halted_at < 0 and releases.shelf.page.book.plan.phase is Phase.HALTED:
+        if (
+            isinstance(releases, Agreed)
+            and self.halted_at < 0
+            and releases.shelf.page.book.plan.phase is Phase.HALTED
+        ):
             self.halted_at = now - BEGIN
         if self.halted_at >= 0 and self.bad_done_at < 0 and all(
                 node.up and node.version == "v1" for node in releases.emulator.nodes):
@@ -104,7 +150,9 @@
             loop.call_later(BEGIN, agreed.order, lambda book: book.start("v2", (1, 0.1, 0.5, 1.0), False))
             if not bad:
                 for node in second:
-                    loop.call_later(SECOND_OPERATOR, agreed.order, lambda book, name=node.name: book.ask(SERVERS, name, 0))
+                    loop.call_later(
+                        SECOND_OPERATOR, agreed.order, lambda book, name=node.name: book.ask(SERVERS, name, 0)
+                    )
             for at in range(int(BEGIN), 200, 2):  # who is on call says so within two seconds of the halt
                 loop.call_later(at, agreed.order, lambda book: book.order(Input.ROLLBACK, "")
                                 if book.plan.phase is Phase.HALTED else book)
@@ -120,10 +168,25 @@
     seconds = 150 if size < 30 else 110 if bad else 240
     outcome = play(world(size, seed, seconds, not bad), watch=Watch(), rolls=releases)
     seen = made[0]
-    return {"size": size, "variant": variant, "bad": bad, "most": seen.most, "over": seen.over, "unseen": seen.unseen, "drains": seen.drains,
-            "bound": bound, "done": seen.done_at, "halted": seen.halted_at, "back": seen.bad_done_at,
-            "ever": len(seen.releases.ever), "value": outcome.share, "pay": outcome.share_of("pay"),
-            "faults": len(outcome.faults), "first": outcome.faults[:1], "took": outcome.took}
+    return {
+        "size": size,
+        "variant": variant,
+        "bad": bad,
+        "most": seen.most,
+        "over": seen.over,
+        "unseen": seen.unseen,
+        "drains": seen.drains,
+        "bound": bound,
+        "done": seen.done_at,
+        "halted": seen.halted_at,
+        "back": seen.bad_done_at,
+        "ever": len(seen.releases.ever),
+        "value": outcome.share,
+        "pay": outcome.share_of("pay"),
+        "faults": len(outcome.faults),
+        "first": outcome.faults[:1],
+        "took": outcome.took,
+    }
 
 
 def told(seconds: list[float]) -> str:
@@ -131,8 +194,8 @@
 
 
 def judged(share: float, spread: float, changed: int, others: int, plays: int = 400) -> tuple[float, float]:
-    """Share of waves found bad by ours, and by a plain bound at twice the others' share plus one point. Judged each
-    half second over a minute; `spread`: by which servers differ by themselves."""
+    """Share of waves found bad by ours, and by a plain bound at twice the others' share plus one point.
+    Judged each half second over a minute; `spread`: by which servers differ by themselves."""
     chance, found, plain = Random(hash((share, spread, changed))), 0, 0
     measure = Measure(span=30_000_000_000, least=100)
     usual = 0.02
@@ -146,7 +209,9 @@
                 failed = sum(chance.random() < rate for _ in range(asked)) if asked < 60 else \
                     max(0, min(asked, round(chance.gauss(asked * rate, (asked * rate * (1 - rate)) ** 0.5))))
                 totals[name] = totals[name].plus(Counts(asked - failed, 0, 0, failed))
-            evidence.add(at * 500_000_000, {"a": Look(1, totals["a"], True), "b": Look(1, totals["b"], False)})
+            evidence.add(
+                at * 500_000_000, {"a": Look(1, totals["a"], True), "b": Look(1, totals["b"], False)}
+            )
             one, other = evidence.changed.counts, evidence.others.counts
             bad = bad or judge(measure, evidence, None).verdict is Verdict.BAD
             over = over or one.asked >= measure.least and \
@@ -159,7 +224,8 @@
     from explore_rollout import Explorer
     began = time.perf_counter()
     worlds, worst = Explorer(servers, 1, lives, leads).walk(most)
-    return f"{servers} servers, {leads} that lead, {lives} lives: {worlds} worlds, {worst} out at most; {time.perf_counter() - began:.0f} s"
+    took = time.perf_counter() - began
+    return f"{servers} servers, {leads} that lead, {lives} lives: {worlds} worlds, {worst} out at most; {took:.0f} s"
 
 
 def main() -> None:
@@ -171,23 +237,37 @@
     asked.add_argument("--walk", action="store_true")
     told_us = asked.parse_args()
     with ProcessPoolExecutor(told_us.workers) as pool:
-        walks = [pool.submit(walk, *world) for world in ((2, 2, 2, 400_000), (3, 1, 2, 400_000), (2, 1, 3, 400_000))
-                 if told_us.walk]
+        walks = [
+            pool.submit(walk, *world)
+            for world in ((2, 2, 2, 400_000), (3, 1, 2, 400_000), (2, 1, 3, 400_000))
+            if told_us.walk
+        ]
         jobs = {(size, bad, variant): [pool.submit(one, size, variant, seed, bad)
                                        for seed in (told_us.seeds if size < 300 else told_us.seeds[:1])]
                 for size in told_us.sizes for bad in (False, True) for variant in VARIANTS}
-        judging = {key: pool.submit(judged, *key) for key in [
-            (share, spread, changed, 10 * changed) for share in (0.0, 0.02, 0.05, 0.1, 0.3) for spread in (0.0, 0.01)
-            for changed in (5, 50)] if told_us.judge}
+        judging = {
+            key: pool.submit(judged, *key)
+            for key in [
+                (share, spread, changed, 10 * changed)
+                for share in (0.0, 0.02, 0.05, 0.1, 0.3)
+                for spread in (0.0, 0.01)
+                for changed in (5, 50)
+            ]
+            if told_us.judge
+        }
         for (size, bad, variant), found in jobs.items():
             rows = [job.result() for job in found]
             mean = {name: statistics.mean(row[name] for row in rows) for name in ("value", "pay")}
-            print(f"| {size} | {'bad' if bad else 'good'} | {variant} | {max(row['most'] for row in rows)} of {rows[0]['bound']} |"
-                  f" {sum(row['over'] for row in rows)} ({sum(row['unseen'] for row in rows)}) of"
-                  f" {sum(row['drains'] for row in rows)} |"
-                  f" {told([row['done'] for row in rows])} | {told([row['halted'] for row in rows])} |"
-                  f" {', '.join(str(row['ever']) for row in rows)} | {told([row['back'] for row in rows])} |"
-                  f" {mean['value']:.3f} | {mean['pay']:.3f} | {sum(row['faults'] for row in rows)} |", flush=True)
+            print(
+                f"| {size} | {'bad' if bad else 'good'} | {variant} | {max(row['most'] for row in rows)}"
+                f" of {rows[0]['bound']} |"
+                f" {sum(row['over'] for row in rows)} ({sum(row['unseen'] for row in rows)}) of"
+                f" {sum(row['drains'] for row in rows)} |"
+                f" {told([row['done'] for row in rows])} | {told([row['halted'] for row in rows])} |"
+                f" {', '.join(str(row['ever']) for row in rows)} | {told([row['back'] for row in rows])} |"
+                f" {mean['value']:.3f} | {mean['pay']:.3f} | {sum(row['faults'] for row in rows)} |",
+                flush=True,
+            )
             for row in rows:
                 if row["first"]:
                     print("    ", row["first"])
--- a/burlloom/command/rollout.py
+++ b/burlloom/command/rollout.py
@@ -85,8 +85,11 @@
     done = sum(book.done(unit) for unit in servers.units.values())
     way = f"back to {plan.former}" if plan.backing else \
         f"{'restart' if plan.restart else 'to ' + plan.version}, wave {plan.wave + 1} of {len(plan.waves)}"
-    return said + f"change {plan.number} {way}: {plan.phase.name.lower()}, {done} of {len(servers.units)} done" \
+    return (
+        said
+        + f"change {plan.number} {way}: {plan.phase.name.lower()}, {done} of {len(servers.units)} done"
         + (f" ({plan.why})" if plan.why else "")
+    )
 
 
 @rollout.command()
@@ -105,7 +108,10 @@
     click.echo(f"led by {book.holder or 'nobody'}, epoch {book.epoch}, step {book.steps}")
     for group, one in book.groups.items():
         share = f" ({one.budget.share:.0%})" if one.budget.share else ""
-        click.echo(f"{group}: {one.taken} out of {one.budget.bound(len(one.units))}{share} allowed, of {len(one.units)}")
+        click.echo(
+            f"{group}: {one.taken} out of {one.budget.bound(len(one.units))}{share} allowed,"
+            f" of {len(one.units)}"
+        )
         for name, unit in sorted(one.units.items()):
             if unit.state is not State.IN or unit.asked or unit.version not in ("", book.good):
                 click.echo(f"  {name:24} {unit.state.name.lower():8} {unit.version or '-'}" + detail(unit))
@@ -114,17 +120,26 @@
 
 
 def detail(unit: "Unit") -> str:
-    return (f", next {unit.to}" if unit.to and unit.to != unit.version else "") + (", asked for" if unit.asked else "")
+    return (f", next {unit.to}" if unit.to and unit.to != unit.version else "") + (
+        ", asked for" if unit.asked else ""
+    )
 
 
 @rollout.command()
 @operator_option
 @click.argument("version", required=False, default="")
-@click.option("--wave", "waves", multiple=True, help="A number of servers, or a part such as 10%; the last is 100%. "
-              "Else those of the operator's file.")
+@click.option(
+    "--wave",
+    "waves",
+    multiple=True,
+    help="A number of servers, or a part such as 10%; the last is 100%. "
+    "Else those of the operator's file.",
+)
 @click.option("--auto-back/--no-auto-back", default=None, help="Whether a bad wave is taken back by itself.")
 @click.option("--restart", is_flag=True, help="Start all anew, also those that run this version.")
-def start(operator: Path | None, version: str, waves: tuple[str, ...], auto_back: bool | None, restart: bool) -> None:
+def start(
+    operator: Path | None, version: str, waves: tuple[str, ...], auto_back: bool | None, restart: bool
+) -> None:
     """Bring VERSION to the whole fleet, in waves. With --restart it may be left out."""
     if not version and not restart:
         raise click.UsageError("which VERSION? Only with --restart may it be left out")
@@ -133,7 +148,9 @@
     try:
         told = tuple(wave_of(wave) for wave in waves) or part.plan_waves()
     except ValueError:
-        raise click.UsageError(f"--wave: {', '.join(waves)}: each is a number such as 3, or a part such as 25%") from None
+        raise click.UsageError(
+            f"--wave: {', '.join(waves)}: each is a number such as 3, or a part such as 25%"
+        ) from None
     auto = part.auto_back if auto_back is None else auto_back
     ordered(operator, lambda book: book.start(version, told, auto, restart))
 
@@ -176,7 +193,8 @@
               help="When it is over, servers call the instance again.")
 @click.option("--wait-s", type=click.IntRange(1, 86_400), default=600, help="For room in the budget.")
 def take(operator: Path | None, service: str, address: str, for_s: int, wait_s: int) -> None:
-    """Take an instance of a service below out: waits until no server calls it any more. Status 1 if there was no room."""
+    """Take an instance of a service below out: waits until no server calls it any more. Status 1 if there was
+    no room."""
     _, part = part_of(operator)
 
     async def work(shelf: "Shelf") -> bool:
@@ -210,11 +228,13 @@
 
 
 def emptied(page: "Page", members: Any, step: int) -> bool:
-    """All servers that may call below have acted on this step. One that is missing may be calling still: it holds
-    this up until it is back, or retired."""
+    """All servers that may call below have acted on this step. One that is missing may be calling still: it
+    holds this up until it is back, or retired."""
     heeded = {member.name: member.heeded for member in members}
     from ..rollout import State
-    return all(heeded.get(name, 0) >= step for name, unit in page.book.servers.items() if unit.state is not State.OUT)
+    return all(
+        heeded.get(name, 0) >= step for name, unit in page.book.servers.items() if unit.state is not State.OUT
+    )
 
 
 @rollout.command()
@@ -222,7 +242,8 @@
 @click.argument("service")
 @click.argument("address")
 def give(operator: Path | None, service: str, address: str) -> None:
-    """An instance below may be called again; it counts as out until calls to it have gone well for a while."""
+    """An instance below may be called again; it counts as out until calls to it have gone well for a
+    while."""
     ordered(operator, lambda book: book.give(service, address))
 
 
@@ -243,7 +264,9 @@
 @operator_option
 @click.option("--group", default="servers", help="A service below, for instances of it.")
 @click.option("--most", type=click.IntRange(1), help="So many out at once.")
-@click.option("--share", type=click.FloatRange(0, 1, min_open=True, max_open=True), help="Such a part of all.")
+@click.option(
+    "--share", type=click.FloatRange(0, 1, min_open=True, max_open=True), help="Such a part of all."
+)
 def budget(operator: Path | None, group: str, most: int | None, share: float | None) -> None:
     """Change how many may be out at once; the files only say with what a group begins."""
     from ..rollout import Budget
@@ -306,4 +329,3 @@
         with_shelf(operator, work)
     except KeyboardInterrupt:
         pass
-
--- a/burlloom/lab/rolls.py
+++ b/burlloom/lab/rolls.py
@@ -1,5 +1,5 @@
-"""Releases over a fleet in simulated time: the servers' real part in them, and the book in memory behind a way that
-takes its time and fails; or an operator's script that knows nothing of any of it."""
+"""Releases over a fleet in simulated time: the servers' real part in them, and the book in memory behind a
+way that takes its time and fails; or an operator's script that knows nothing of any of it."""
 
 import asyncio
 from collections.abc import Callable, Sequence
@@ -95,9 +95,12 @@
 
 
 class Releases:
-    """`bad`: the share of runs that fail, by version. `restart_s`: from a process's end to the next one's start."""
+    """`bad`: the share of runs that fail, by version. `restart_s`: from a process's end to the next one's
+    start."""
 
-    def __init__(self, emulator: Emulator, version: str, bad: dict[str, float], restart_s: tuple[float, float]) -> None:
+    def __init__(
+        self, emulator: Emulator, version: str, bad: dict[str, float], restart_s: tuple[float, float]
+    ) -> None:
         self.emulator, self.bad, self.restart_s = emulator, bad, restart_s
         self.versions = {node.name: version for node in emulator.nodes}
         self.chance = default_rng(emulator.world.seed + 7)
@@ -123,8 +126,15 @@
 class Agreed(Releases):
     """By the book."""
 
-    def __init__(self, emulator: Emulator, version: str, bad: dict[str, float], restart_s: tuple[float, float],
-                 part: RolloutPart, loses: float = 0.0) -> None:
+    def __init__(
+        self,
+        emulator: Emulator,
+        version: str,
+        bad: dict[str, float],
+        restart_s: tuple[float, float],
+        part: RolloutPart,
+        loses: float = 0.0,
+    ) -> None:
         super().__init__(emulator, version, bad, restart_s)
         self.first, self.part = version, part
         self.shelf = Shelf(loses, emulator.world.seed)
@@ -133,8 +143,18 @@
         def make(server: Server) -> Rolled:
             loop, book = self.emulator.loop, self.shelf.page.book
             self.begins(node, book.version_of(node.name) or self.first)
-            made = Rolled(self.part, self.shelf, node.name, node.version, server.orders.facts.products, loop.wall,
-                          server.tasks, Host(self.emulator, node, server), lambda: server.fleet, loop.wall)
+            made = Rolled(
+                self.part,
+                self.shelf,
+                node.name,
+                node.version,
+                server.orders.facts.products,
+                loop.wall,
+                server.tasks,
+                Host(self.emulator, node, server),
+                lambda: server.fleet,
+                loop.wall,
+            )
             loop.call_soon(made.open)
             return made
         return make
@@ -150,13 +170,18 @@
 
 
 class Scripted(Releases):
-    """`most` at a time, the next ones when these are up again, or after `wait_s` at the latest; or, with `pause_s`,
-    by the clock alone. What else is out it does not know. Without a version, they start anew as they are."""
+    """`most` at a time, the next ones when these are up again, or after `wait_s` at the latest; or, with
+    `pause_s`, by the clock alone. What else is out it does not know. Without a version, they start anew as
+    they are."""
 
-    def script(self, nodes: Sequence[Node], version: str, most: int, wait_s: float, pause_s: float = 0.0) -> None:
+    def script(
+        self, nodes: Sequence[Node], version: str, most: int, wait_s: float, pause_s: float = 0.0
+    ) -> None:
         asyncio.ensure_future(self.run(nodes, version, most, wait_s, pause_s), loop=self.emulator.loop)
 
-    async def run(self, nodes: Sequence[Node], version: str, most: int, wait_s: float, pause_s: float) -> None:
+    async def run(
+        self, nodes: Sequence[Node], version: str, most: int, wait_s: float, pause_s: float
+    ) -> None:
         left = list(nodes)
         while left:
             batch, left = left[:most], left[most:]
--- a/burlloom/operator/rollout.py
+++ b/burlloom/operator/rollout.py
@@ -33,11 +33,12 @@
     changes. `release_file`: written before a drain, with the version to be started next.
 
     `out_most` servers, or the part `out_share` of them, may be out at once. `waves`: numbers of servers, then
-    parts of all such as "10%"; the last is "100%". `auto_back`: a bad release is taken back without a word of an operator.
-    `fresh_ms`: a sign of life counts for; `lead_ms`: until another leads; `permit_ms`, `back_ms`, `settle_ms`,
-    `write_off_ms` (0: never): docs/rollout.md. `judge_ms`: what counts of both sides; `judge_least`: txns of the
-    changed; `judge_margin`, `judge_sigmas`: by how much they may do worse; `judge_worst`: a share that is bad
-    whatever the others do; `quiet_ms`: for so many to come, and whether a wave without them passes."""
+    parts of all such as "10%"; the last is "100%". `auto_back`: a bad release is taken back without a word of
+    an operator. `fresh_ms`: a sign of life counts for; `lead_ms`: until another leads; `permit_ms`,
+    `back_ms`, `settle_ms`, `write_off_ms` (0: never): docs/rollout.md. `judge_ms`: what counts of both sides;
+    `judge_least`: txns of the changed; `judge_margin`, `judge_sigmas`: by how much they may do worse;
+    `judge_worst`: a share that is bad whatever the others do; `quiet_ms`: for so many to come, and whether a
+    wave without them passes."""
 
     version: Annotated[str, Field(max_length=200)] = ""
     leads: bool = True
@@ -70,8 +71,10 @@
         from ..rollout import plan
         wrong = [*plan.faults(self.plan_waves()), *self.terms().faults()]
         if self.fresh_ms < 3 * max(self.beat_ms, self.poll_ms):
-            wrong.append(f"fresh_ms {self.fresh_ms} is under three of beat_ms and poll_ms: a server that is well would"
-                         " be taken for silent")
+            wrong.append(
+                f"fresh_ms {self.fresh_ms} is under three of beat_ms and poll_ms: a server that is well would"
+                " be taken for silent"
+            )
         if "servers" in self.below:
             wrong.append("below: `servers` is the name of the fleet's own group")
         seen: dict[str, str] = {}
@@ -81,7 +84,9 @@
                     wrong.append(f"below.{name}: {address} stands twice, also in {seen[address]}")
                 seen[address] = name
             if service.out_share is None and service.out_most >= len(service.addresses):
-                wrong.append(f"below.{name}: out_most {service.out_most} of {len(service.addresses)} is all of them")
+                wrong.append(
+                    f"below.{name}: out_most {service.out_most} of {len(service.addresses)} is all of them"
+                )
         if wrong:
             raise ValueError("; ".join(wrong))
         return self
@@ -101,7 +106,19 @@
 
     def terms(self) -> "Terms":
         from ..rollout import Measure, Terms
-        measure = Measure(self.judge_ms * MS, self.judge_least, self.judge_margin, self.judge_sigmas, self.judge_worst)
-        return Terms(self.fresh_ms * MS, self.lead_ms * MS, self.permit_ms * MS, self.back_ms * MS,
-                     self.settle_ms * MS, self.write_off_ms * MS, self.quiet_ms * MS, self.lost_most, self.pause_at,
-                     self.quiet_passes, measure)
+        measure = Measure(
+            self.judge_ms * MS, self.judge_least, self.judge_margin, self.judge_sigmas, self.judge_worst
+        )
+        return Terms(
+            self.fresh_ms * MS,
+            self.lead_ms * MS,
+            self.permit_ms * MS,
+            self.back_ms * MS,
+            self.settle_ms * MS,
+            self.write_off_ms * MS,
+            self.quiet_ms * MS,
+            self.lost_most,
+            self.pause_at,
+            self.quiet_passes,
+            measure,
+        )
--- a/burlloom/rollout/book.py
+++ b/burlloom/rollout/book.py
@@ -1,9 +1,9 @@
 """All that is agreed: who leads, what is out, by which permit, and the change under way. No I/O.
 
-The book is one value. Each step makes a new one from one that was read; the store takes it only if nobody else
-wrote meanwhile. So every step is decided on what holds when it is written: a budget that is kept by each step is
-kept, however many decide, and however late. What is local to one of them (when it saw what, on its own clock)
-stands in `watch.py`.
+The book is one value. Each step makes a new one from one that was read; the store takes it only if nobody
+else wrote meanwhile. So every step is decided on what holds when it is written: a budget that is kept by each
+step is kept, however many decide, and however late. What is local to one of them (when it saw what, on its
+own clock) stands in `watch.py`.
 """
 
 from collections import Counter
@@ -17,8 +17,8 @@
 
 SERVERS = "servers"  # the group of ourselves; all others are services below
 NOTES_MOST = 40
-# Raised where an older program would lose something by writing the book anew; only in a release after one that
-# reads the new form already, as old and new run side by side in every release.
+# Raised where an older program would lose something by writing the book anew; only in a release after one
+# that reads the new form already, as old and new run side by side in every release.
 FORM = 1
 
 
@@ -28,8 +28,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Budget:
-    """At most `most` out at once, or, where it is not 0, such a `share` of all, rounded down, but one at least;
-    and never all."""
+    """At most `most` out at once, or, where it is not 0, such a `share` of all, rounded down, but one at
+    least; and never all."""
 
     most: int = 1
     share: float = 0.0
@@ -55,8 +55,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Book:
-    """`holder`, `epoch`: who leads, and how often that changed. `steps`: how many there were. `good`: the version that all are to run where nothing is changed. `notes`: the last moves, each with
-    its step, in words."""
+    """`holder`, `epoch`: who leads, and how often that changed. `steps`: how many there were. `good`: the
+    version that all are to run where nothing is changed. `notes`: the last moves, each with its step, in
+    words."""
 
     holder: str = ""
     epoch: int = 0
@@ -96,7 +97,9 @@
 
     def shunned(self) -> list[tuple[str, str]]:
         """Instances below that are not to be called: group and address."""
-        return [(group, name) for group, name, unit in self.all() if group != SERVERS and unit.state is State.OUT]
+        return [
+            (group, name) for group, name, unit in self.all() if group != SERVERS and unit.state is State.OUT
+        ]
 
     # Steps.
 
@@ -120,10 +123,12 @@
         if moved is None:
             return self, ""
         after, effect = moved
-        return self.put(group, name, after).note(
-            f"{group} {name}: {what.name.lower()}, {unit.state.name.lower()} to {after.state.name.lower()}"), effect
+        said = f"{what.name}, {unit.state.name} to {after.state.name}".lower()
+        return self.put(group, name, after).note(f"{group} {name}: {said}"), effect
 
-    def permit(self, group: str, name: str, doubtful: int, to: str = "", moved: int = 0) -> tuple["Book", bool]:
+    def permit(
+        self, group: str, name: str, doubtful: int, to: str = "", moved: int = 0
+    ) -> tuple["Book", bool]:
         """The one place in which a unit is allowed to leave."""
         there = self.groups[group]
         sent = sum(unit.sent for other, unit in there.units.items() if other != name)
@@ -131,7 +136,9 @@
                                  few=sent < there.budget.bound(len(there.units)))
         if not effect:
             return self, False
-        unit = replace(made.groups[group].units[name], to=to or self.groups[group].units[name].to, moved=moved)
+        unit = replace(
+            made.groups[group].units[name], to=to or self.groups[group].units[name].to, moved=moved
+        )
         return made.put(group, name, unit), True
 
     def decide(self, what: plans.Input, why: str) -> tuple["Book", str]:
@@ -141,8 +148,9 @@
             return self, ""
         plan, effect = moved
         book = replace(self, plan=plan, steps=self.steps + 1).note(
-            f"change {plan.number}: {what.name.lower()}, {self.plan.phase.name.lower()} to {plan.phase.name.lower()}"
-            + (f" ({why})" if why else ""))
+            f"change {plan.number}: " + f"{what.name}, {self.plan.phase.name} to {plan.phase.name}".lower()
+            + (f" ({why})" if why else "")
+        )
         if effect in ("stop", "turn"):
             book = book.called_in()
         if effect == "finish":
@@ -179,23 +187,31 @@
             raise Denied("no server tells its version: set `rollout.version` or BURLLOOM_RELEASE for each"
                          if self.servers else "no server is in the book yet")
         if self.plan.phase is not Phase.IDLE:
-            raise Denied(f"change {self.plan.number} to {self.plan.version} is {self.plan.phase.name.lower()}:"
-                         " finish it, or roll it back")
+            raise Denied(
+                f"change {self.plan.number} to {self.plan.version} is {self.plan.phase.name.lower()}:"
+                " finish it, or roll it back"
+            )
         if wrong := plans.faults(waves):
             raise Denied("; ".join(wrong))
         former = self.good or running.most_common(1)[0][0]
         version = version or former
         if not restart and all(unit.version == version for unit in self.servers.values()):
             raise Denied(f"all servers run {version}; --restart starts them anew all the same")
-        plan = Plan(self.plan.number + 1, version=version, former=former, waves=waves, auto=auto, restart=restart)
+        plan = Plan(
+            self.plan.number + 1, version=version, former=former, waves=waves, auto=auto, restart=restart
+        )
         return replace(self, plan=plan, good=former).decide(plans.Input.START, "")[0]
 
     def order(self, what: plans.Input, why: str) -> "Book":
         if what is plans.Input.ROLLBACK and self.plan.restart:
-            raise Denied("a restart brought in no other version: there is nothing to go back to; halt it instead")
+            raise Denied(
+                "a restart brought in no other version: there is nothing to go back to; halt it instead"
+            )
         book, effect = self.decide(what, why)
         if not effect:
-            raise Denied(f"nothing to {what.name.lower()}: change {self.plan.number} is {self.plan.phase.name.lower()}")
+            raise Denied(
+                f"nothing to {what.name.lower()}: change {self.plan.number} is {self.plan.phase.name.lower()}"
+            )
         return book
 
     def known(self, group: str, name: str) -> Unit:
@@ -203,17 +219,23 @@
             raise Denied(f"there is no group {group!r}; known are {', '.join(self.groups)}")
         unit = self.groups[group].units.get(name)
         if unit is None:
-            raise Denied(f"{group} has no {name!r}; known are {', '.join(sorted(self.groups[group].units)) or 'none'}")
+            raise Denied(
+                f"{group} has no {name!r}; known are {', '.join(sorted(self.groups[group].units)) or 'none'}"
+            )
         return unit
 
     def ask(self, group: str, name: str, span_ms: int) -> "Book":
         """It is to be taken out, as soon as the budget has room."""
         unit = self.known(group, name)
         if unit.state is not State.IN or unit.asked:
-            raise Denied(f"{group} {name} is {'asked for already' if unit.asked else unit.state.name.lower()}")
+            raise Denied(
+                f"{group} {name} is {'asked for already' if unit.asked else unit.state.name.lower()}"
+            )
         if not self.groups[group].budget.bound(len(self.groups[group].units)):
             raise Denied(f"{name} is the only one of {group}: it can't be out without all of them being out")
-        book = replace(self, steps=self.steps + 1).put(group, name, replace(unit, asked=self.steps + 1, span_ms=span_ms))
+        book = replace(self, steps=self.steps + 1).put(
+            group, name, replace(unit, asked=self.steps + 1, span_ms=span_ms)
+        )
         return book.note(f"{group} {name}: asked for")
 
     def give(self, group: str, name: str) -> "Book":
@@ -242,4 +264,6 @@
         if budget.most < 1 or not 0 <= budget.share < 1:
             raise Denied("a budget is a number from 1 on, or a part of all under 1")
         groups = {**self.groups, group: replace(self.groups.get(group, Group()), budget=budget)}
-        return replace(self, groups=groups, steps=self.steps + 1).note(f"{group}: budget {budget.most}, {budget.share:g}")
+        return replace(self, groups=groups, steps=self.steps + 1).note(
+            f"{group}: budget {budget.most}, {budget.share:g}"
+        )
--- a/burlloom/rollout/judge.py
+++ b/burlloom/rollout/judge.py
@@ -1,11 +1,11 @@
 """Whether the changed servers do worse than those that are not changed yet, over the same moments. No I/O.
 
-Both sides serve the same callers at the same time, so a crowd, a slow service below or an hour of the day is on
-both. Three shares are held against each other: declined, voided, settled after the SLA time. One is worse where it is
-larger by `margin` at least and by more than chance makes of it: a one-sided test of two proportions (as in
-Fleiss, "Statistical Methods for Rates and Proportions", 1981), with a bound far out, since it is asked anew each
-round. And one that is not well is sent nobody, so nothing speaks against it but that: it is held against the others
-too.
+Both sides serve the same callers at the same time, so a crowd, a slow service below or an hour of the day is
+on both. Three shares are held against each other: declined, voided, settled after the SLA time. One is worse
+where it is larger by `margin` at least and by more than chance makes of it: a one-sided test of two
+proportions (as in Fleiss, "Statistical Methods for Rates and Proportions", 1981), with a bound far out, since
+it is asked anew each round. And one that is not well is sent nobody, so nothing speaks against it but that:
+it is held against the others too.
 """
 
 from collections import deque
@@ -31,7 +31,8 @@
 @dataclass(frozen=True, slots=True)
 class Measure:
     """`span`: ns that count at least. `least`: txns of the changed, before they are good. `margin`: of a
-    share; `sigmas`: how far out. `worst`: a share of the changed that is bad, unless the others do as badly."""
+    share; `sigmas`: how far out. `worst`: a share of the changed that is bad, unless the others do as
+    badly."""
 
     span: int = 30_000_000_000
     least: int = 100
@@ -74,9 +75,9 @@
 
 
 class Evidence:
-    """What was counted on both sides, over the last `span`; further back, up to `longest`, as long as the changed were
-    asked for under `least` txns. A server counts from a look at which it was in service to the next, if it lived
-    through it."""
+    """What was counted on both sides, over the last `span`; further back, up to `longest`, as long as the
+    changed were asked for under `least` txns. A server counts from a look at which it was in service to the
+    next, if it lived through it."""
 
     def __init__(self, span: int, least: int, longest: int) -> None:
         self.span, self.least, self.longest = span, least, longest
@@ -95,7 +96,11 @@
         sides = [Side(), Side()]
         for name, look in looks.items():
             before = self.last.get(name)
-            asked = look.counts.less(before.counts) if before is not None and before.life == look.life else Counts()
+            asked = (
+                look.counts.less(before.counts)
+                if before is not None and before.life == look.life
+                else Counts()
+            )
             sides[look.changed] = sides[look.changed].plus(Side(asked, 1, not look.well))
         self.last = looks
         self.rounds.append((now, sides[1], sides[0]))
@@ -113,12 +118,16 @@
     def lasting(self, name: str) -> bool:
         """Whether the changed failed so in several parts of a span, not in one burst."""
         part = max(1, self.span // PARTS)
-        return len({at // part for at, changed, _ in self.rounds if getattr(changed.counts, name)}) >= PARTS_BAD
+        return (
+            len({at // part for at, changed, _ in self.rounds if getattr(changed.counts, name)}) >= PARTS_BAD
+        )
 
 
 def rates(counts: Counts) -> Rates:
     asked = max(1, counts.asked)
-    return Rates(counts.declined / asked, counts.voided / asked, counts.late / max(1, counts.settled), counts.asked)
+    return Rates(
+        counts.declined / asked, counts.voided / asked, counts.late / max(1, counts.settled), counts.asked
+    )
 
 
 def judge(measure: Measure, evidence: Evidence, reference: Rates | None) -> Found:
--- a/burlloom/rollout/lead.py
+++ b/burlloom/rollout/lead.py
@@ -1,9 +1,9 @@
 """What whoever leads makes of the book, once a round. No I/O: `round` gives the book that it wants written.
 
-Any server, or a process of its own, may lead; who does, writes its name into the book and raises a count beside
-it. Another takes over where it has not seen that count rise for `lead`. That two believe to lead for a moment
-costs a write that fails, nothing else: each step is taken on the book as it was read, and written only if nobody
-wrote since.
+Any server, or a process of its own, may lead; who does, writes its name into the book and raises a count
+beside it. Another takes over where it has not seen that count rise for `lead`. That two believe to lead for a
+moment costs a write that fails, nothing else: each step is taken on the book as it was read, and written only
+if nobody wrote since.
 """
 
 from collections.abc import Hashable, Iterable, Mapping, Sequence
@@ -24,12 +24,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Terms:
-    """Spans in ns. `fresh`: a sign of life counts for; `lead`: who leads is taken to be gone after; `permit`: a
-    permit that nobody begins on is taken back after; `back`: whoever is out is to be back in; `settle`: it serves
-    for so long before it counts as back; `write_off`: a missing one is gone for good after, 0: only by an
-    operator's word; `quiet`: for the changed to be asked enough. `lost_most`: changed servers that may be lost
-    before the change is halted. `pause_at`: share declined or voided of all servers, from which on nobody new is
-    sent out. `quiet_passes`: a wave of which too little was asked is taken for good."""
+    """Spans in ns. `fresh`: a sign of life counts for; `lead`: who leads is taken to be gone after; `permit`:
+    a permit that nobody begins on is taken back after; `back`: whoever is out is to be back in; `settle`: it
+    serves for so long before it counts as back; `write_off`: a missing one is gone for good after, 0: only by
+    an operator's word; `quiet`: for the changed to be asked enough. `lost_most`: changed servers that may be
+    lost before the change is halted. `pause_at`: share declined or voided of all servers, from which on
+    nobody new is sent out. `quiet_passes`: a wave of which too little was asked is taken for good."""
 
     fresh: int = 5 * SECOND
     lead: int = 5 * SECOND
@@ -55,18 +55,22 @@
 
 
 class Lead:
-    """One that may lead, under a `name` that nobody else has. `budgets`: by group, for those that the book does
-    not have yet; what stands there is changed by an operator's word alone. `services`: the instances of each
-    service below."""
+    """One that may lead, under a `name` that nobody else has. `budgets`: by group, for those that the book
+    does not have yet; what stands there is changed by an operator's word alone. `services`: the instances of
+    each service below."""
 
     def __init__(self, name: str, terms: Terms, budgets: Mapping[str, Budget] | None = None,
                  services: Mapping[str, Sequence[str]] | None = None) -> None:
         self.name, self.terms, self.budgets, self.services = name, terms, budgets or {}, services or {}
         self.watch = Watch(terms.fresh)
-        self.evidence = Evidence(terms.measure.span, terms.measure.least, max(terms.quiet, terms.measure.span))
+        self.evidence = Evidence(
+            terms.measure.span, terms.measure.least, max(terms.quiet, terms.measure.span)
+        )
         self.judged: tuple[int, int, bool, int] | None = None  # which wave the evidence is of
         self.paused = False
-        self.strangers: list[str] = []  # who told something once, is not in the book, and says nothing any more
+        self.strangers: list[str] = (
+            []
+        )  # who told something once, is not in the book, and says nothing any more
 
     def leads(self, book: Book) -> bool:
         return book.holder == self.name
@@ -117,7 +121,9 @@
         what, life = heard(member, fresh, member is not None and self.watch.silent(now, member))
         effect = ""
         if what is Input.SEEN and member is not None and before is not None and before.life == member.former:
-            book, _ = book.meet(SERVERS, name, Input.PARTS, life=member.former)  # it was back before we looked
+            book, _ = book.meet(
+                SERVERS, name, Input.PARTS, life=member.former
+            )  # it was back before we looked
         if what is not None:
             book, effect = book.meet(SERVERS, name, what, life=life)
         unit = book.servers.get(name)
@@ -142,10 +148,12 @@
         span = unit.span_ms * 1_000_000
         span = max(terms.back, span) if group == SERVERS else span or terms.back
         settled = well and served >= terms.settle
-        due = {State.GRANTED: (Input.EXPIRED, age >= terms.permit),
-               State.OUT: (Input.EXPIRED, age >= span),
-               State.BACK: (Input.SETTLED if settled else Input.EXPIRED, settled or age >= terms.back),
-               State.MISSING: (Input.RETIRE, bool(terms.write_off) and age >= terms.write_off)}.get(unit.state)
+        due = {
+            State.GRANTED: (Input.EXPIRED, age >= terms.permit),
+            State.OUT: (Input.EXPIRED, age >= span),
+            State.BACK: (Input.SETTLED if settled else Input.EXPIRED, settled or age >= terms.back),
+            State.MISSING: (Input.RETIRE, bool(terms.write_off) and age >= terms.write_off),
+        }.get(unit.state)
         if due is None or not due[1]:
             return book, ""
         return book.meet(group, name, due[0])
@@ -175,7 +183,9 @@
             effect = ""
             if not fails and unit.state in (State.GONE, State.MISSING):
                 book, effect = book.meet(group, name, Input.SEEN, life=unit.life + 1)
-            elif fails and unit.state is not State.OUT:  # who is out is not called: what is told is from before
+            elif (
+                fails and unit.state is not State.OUT
+            ):  # who is out is not called: what is told is from before
                 book, effect = book.meet(group, name, Input.SILENT)
             if not effect and name in units:
                 book, _ = self.by_time(now, book, group, name, not fails)
@@ -189,8 +199,14 @@
         if judged != self.judged:
             self.evidence.clear()
             self.judged = judged
-        self.evidence.add(now, {name: Look(there[name].life, there[name].counts, book.done(unit), there[name].well)
-                                for name, unit in book.servers.items() if name in fresh and unit.state is State.IN})
+        self.evidence.add(
+            now,
+            {
+                name: Look(there[name].life, there[name].counts, book.done(unit), there[name].well)
+                for name, unit in book.servers.items()
+                if name in fresh and unit.state is State.IN
+            },
+        )
 
     def change(self, now: int, book: Book, lost: list[str]) -> Book:
         plan = book.plan
@@ -202,7 +218,10 @@
             if plan.lost > self.terms.lost_most:
                 return book.decide(plans.Input.LOST, "; ".join(lost)[:200])[0]
         if plan.phase is not Phase.BACKING:
-            found, others = judge(self.terms.measure, self.evidence, plan.reference), self.evidence.others.counts
+            found, others = (
+                judge(self.terms.measure, self.evidence, plan.reference),
+                self.evidence.others.counts,
+            )
             if found.verdict is Verdict.BAD:
                 return book.decide(plans.Input.BAD, found.why)[0]
             if plan.phase is Phase.JUDGING:
@@ -228,7 +247,9 @@
             return False
         if book.plan.backing:
             return all(book.done(unit) for unit in servers)
-        return sum(book.done(unit) and unit.state is State.IN for unit in servers) >= book.plan.wanted(len(servers))
+        return sum(book.done(unit) and unit.state is State.IN for unit in servers) >= book.plan.wanted(
+            len(servers)
+        )
 
     # Who may leave.
 
@@ -247,8 +268,11 @@
         doubtful = sum(unit.state is State.IN and name not in serving for name, unit in book.servers.items())
 
         def send(book: Book, group: str, name: str, to: str = "", moved: int = 0) -> tuple[Book, bool]:
-            # One that is not called anyway costs nobody anything: only those that serve wait for the doubtful.
-            return book.permit(group, name, doubtful if group == SERVERS and name in serving else 0, to, moved)
+            # One that is not called anyway costs nobody anything: only those that serve wait for the
+            # doubtful.
+            return book.permit(
+                group, name, doubtful if group == SERVERS and name in serving else 0, to, moved
+            )
 
         for group, name, unit in list(book.all()):
             if unit.asked and unit.state is State.IN and (group != SERVERS or name in fresh):
@@ -276,7 +300,10 @@
 
     def strained(self) -> bool:
         both = self.evidence.changed.plus(self.evidence.others).counts
-        return both.asked >= self.terms.measure.least and both.declined + both.voided > self.terms.pause_at * both.asked
+        return (
+            both.asked >= self.terms.measure.least
+            and both.declined + both.voided > self.terms.pause_at * both.asked
+        )
 
     def tidy(self, book: Book, there: dict[str, Member]) -> None:
         keep: set[Hashable] = {"lead", "plan", *(("beat", name) for name in there)}
--- a/burlloom/rollout/plan.py
+++ b/burlloom/rollout/plan.py
@@ -1,7 +1,7 @@
 """The fleet's change: waves of a release, the halt, the way back; a table. No I/O.
 
-Phases: IDLE nothing is changed; ROLLING a wave is on its way; JUDGING all of a wave are back, and what they do is
-held against the others; HALTED nobody is sent out; BACKING all go back to the version that was good.
+Phases: IDLE nothing is changed; ROLLING a wave is on its way; JUDGING all of a wave are back, and what they
+do is held against the others; HALTED nobody is sent out; BACKING all go back to the version that was good.
 """
 
 from collections.abc import Callable
@@ -73,10 +73,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """`version`: that is brought in; `former`: that the way back leads to; `restart`: all start anew, whatever
-    they run. `backing`: whether the way back was begun; `auto`: taken by itself when a wave is bad. `since`: the
-    book's step of the last move. `reference`: what the unchanged did last, for when there are none left.
-    `lost`: changed servers that were lost."""
+    """`version`: that is brought in; `former`: that the way back leads to; `restart`: all start anew,
+    whatever they run. `backing`: whether the way back was begun; `auto`: taken by itself when a wave is bad.
+    `since`: the book's step of the last move. `reference`: what the unchanged did last, for when there are
+    none left. `lost`: changed servers that were lost."""
 
     number: int = 0
     phase: Phase = Phase.IDLE
@@ -132,8 +132,15 @@
     "-": lambda plan: True, "auto": lambda plan: plan.auto and not plan.restart,
     "last": lambda plan: plan.wave + 1 >= len(plan.waves), "backing": lambda plan: plan.backing}
 EFFECTS: dict[str, Callable[[Plan], Plan]] = {
-    "-": same, "begin": begin, "next": next_wave, "turn": turn, "stop": same, "resume": resume, "finish": same,
-    "close": same}
+    "-": same,
+    "begin": begin,
+    "next": next_wave,
+    "turn": turn,
+    "stop": same,
+    "resume": resume,
+    "finish": same,
+    "close": same,
+}
 RULES = rows(TABLE, Phase, Input, TESTS.__getitem__, str)
 
 
@@ -159,7 +166,9 @@
         found.append("waves: the last one is 100%, the whole fleet")
     for wave in waves:
         if wave <= 0 or isinstance(wave, float) and wave > 1:
-            found.append(f"waves: {wave!r} is neither a number of servers from 1 on nor a part of them up to 100%")
+            found.append(
+                f"waves: {wave!r} is neither a number of servers from 1 on nor a part of them up to 100%"
+            )
     shares = [wave for wave in waves if isinstance(wave, float)]
     counts = [wave for wave in waves if isinstance(wave, int)]
     if list(waves) != [*sorted(set(counts)), *sorted(set(shares))]:
--- a/burlloom/rollout/stores/postgres.py
+++ b/burlloom/rollout/stores/postgres.py
@@ -14,7 +14,8 @@
 
 class Postgres(Tables):
     """`record`: a store of record that was not opened: where the database is, and its schema's steps. One
-    connection, made anew after any error: of a statement whose answer was lost nobody knows whether it holds."""
+    connection, made anew after any error: of a statement whose answer was lost nobody knows whether it
+    holds."""
 
     def __init__(self, record: Record) -> None:
         self.record = record
--- a/burlloom/rollout/stores/shelf.py
+++ b/burlloom/rollout/stores/shelf.py
@@ -57,12 +57,15 @@
     try:
         book = BOOK.validate_json(text)
         if book.form > FORM:
-            raise Unreadable(f"the book has form {book.form}, written by a newer program; this one knows {FORM}")
+            raise Unreadable(
+                f"the book has form {book.form}, written by a newer program; this one knows {FORM}"
+            )
         return book
     except ValidationError as error:
         first = error.errors()[0]
-        raise Unreadable(f"the book can't be read: {'.'.join(map(str, first['loc'])) or 'the whole'}: {first['msg']}"
-                         ) from error
+        raise Unreadable(
+            f"the book can't be read: {'.'.join(map(str, first['loc'])) or 'the whole'}: {first['msg']}"
+        ) from error
 
 
 def member_of(text: str) -> Member:
--- a/burlloom/rollout/stores/sqlite.py
+++ b/burlloom/rollout/stores/sqlite.py
@@ -49,7 +49,9 @@
         def work() -> list[Any]:
             if self.db is None:
                 raise sqlite3.OperationalError("not open")
-            if self.path.stat().st_ino != self.file:  # a restore put another in its place: ours is nobody's now
+            if (
+                self.path.stat().st_ino != self.file
+            ):  # a restore put another in its place: ours is nobody's now
                 self.db.close()
                 self.db = None
                 raise sqlite3.OperationalError("another file has taken its place")
--- a/burlloom/rollout/stores/tables.py
+++ b/burlloom/rollout/stores/tables.py
@@ -1,4 +1,5 @@
-"""The book in two tables. Each step is one statement that holds or does not: no transaction is open between two."""
+"""The book in two tables. Each step is one statement that holds or does not: no transaction is open between
+two."""
 
 import logging
 import time
@@ -18,9 +19,11 @@
 SWAP = ("UPDATE rollout_book SET revision = revision + 1, epoch = $1::bigint, text = $2::text"
         " WHERE id = 1 AND revision = $3::bigint RETURNING revision")
 BEAT = "UPDATE rollout_book SET beat = beat + 1 WHERE id = 1 AND epoch = $1::bigint RETURNING beat"
-TELL = ("INSERT INTO rollout_member (name, life, beat, text) VALUES ($1::text, $2::bigint, $3::bigint, $4::text)"
-        " ON CONFLICT (name) DO UPDATE SET life = excluded.life, beat = excluded.beat, text = excluded.text"
-        " WHERE rollout_member.life <= excluded.life RETURNING life")
+TELL = (
+    "INSERT INTO rollout_member (name, life, beat, text) VALUES ($1::text, $2::bigint, $3::bigint, $4::text)"
+    " ON CONFLICT (name) DO UPDATE SET life = excluded.life, beat = excluded.beat, text = excluded.text"
+    " WHERE rollout_member.life <= excluded.life RETURNING life"
+)
 LAST = "SELECT text FROM rollout_member WHERE name = $1::text"
 MEMBERS = "SELECT text FROM rollout_member"
 FORGET = "DELETE FROM rollout_member WHERE name = $1::text RETURNING life"
--- a/burlloom/server/fleeting.py
+++ b/burlloom/server/fleeting.py
@@ -145,7 +145,10 @@
         self.turns = fleet.Turns()
         self.spread_over: tuple[tuple[str, ...], frozenset[str]] = ((), frozenset())
         self.shunned: frozenset[str] = frozenset()
-        self.lately: list[dict[str, list[int]]] = [{}, {}]  # calls by service, well and not: of this span and the last
+        self.lately: list[dict[str, list[int]]] = [
+            {},
+            {},
+        ]  # calls by service, well and not: of this span and the last
         self.lately_at = 0
         self.pools: Pools | None = Pools(self.next, self.called) if part.services else None
         self.looked_at = self.former = 0
--- a/burlloom/server/rolling.py
+++ b/burlloom/server/rolling.py
@@ -64,13 +64,30 @@
 class Rolled:
     """`version`: that we run; `terms` and the like stand in `part`."""
 
-    def __init__(self, part: RolloutPart, shelf: Shelf, name: str, version: str, products: tuple[Product, ...],
-                 clock: Callable[[], int], tasks: Tasks, host: Host, fleet: Callable[[], Fleeting],
-                 steady: Callable[[], int] = since_start) -> None:
+    def __init__(
+        self,
+        part: RolloutPart,
+        shelf: Shelf,
+        name: str,
+        version: str,
+        products: tuple[Product, ...],
+        clock: Callable[[], int],
+        tasks: Tasks,
+        host: Host,
+        fleet: Callable[[], Fleeting],
+        steady: Callable[[], int] = since_start,
+    ) -> None:
         """`clock`: Unix ns; `steady`: ns of one that nobody sets."""
         from .. import rollout
         from ..rollout import stores
-        self.of, self.stores, self.part, self.shelf, self.name, self.version = rollout, stores, part, shelf, name, version
+        self.of, self.stores, self.part, self.shelf, self.name, self.version = (
+            rollout,
+            stores,
+            part,
+            shelf,
+            name,
+            version,
+        )
         self.products, self.clock, self.tasks, self.host, self.fleet = products, clock, tasks, host, fleet
         self.steady = steady
         self.life = self.former = self.beat = self.told_at = self.heeded = self.ends = 0
@@ -162,11 +179,15 @@
                 self.name, self.life, self.beat, says, self.host.well(), self.version, self.heeded,
                 self.of.Counts(*self.counts), self.fleet().reports(), self.former)):
             self.outbid = True
-            log.error("event=rollout-outbid name=%s: another server with this name was started after this one", self.name)
+            log.error(
+                "event=rollout-outbid name=%s: another server with this name was started after this one",
+                self.name,
+            )
         self.said, self.told_at = says, now
 
     def heed(self, page: Page) -> None:
-        """Instances below that are out are not called. What was acted on is told once no call is there any more."""
+        """Instances below that are out are not called. What was acted on is told once no call is there any
+        more."""
         shunned = frozenset(address for _, address in page.book.shunned())
         if self.fleet().shun(shunned):
             self.heeded = page.book.steps
@@ -217,10 +238,16 @@
             return {"away": float(bool(self.away))}
         book = self.page.book
         servers = book.groups[self.of.SERVERS]
-        return {"away": float(bool(self.away)), "phase": float(book.plan.phase), "wave": float(book.plan.wave),
-                "servers": float(len(servers.units)), "out": float(servers.taken),
-                "bound": float(servers.budget.bound(len(servers.units))), "steps_read": float(book.steps),
-                "done": float(sum(book.done(unit) for unit in servers.units.values()))}
+        return {
+            "away": float(bool(self.away)),
+            "phase": float(book.plan.phase),
+            "wave": float(book.plan.wave),
+            "servers": float(len(servers.units)),
+            "out": float(servers.taken),
+            "bound": float(servers.budget.bound(len(servers.units))),
+            "steps_read": float(book.steps),
+            "done": float(sum(book.done(unit) for unit in servers.units.values())),
+        }
 
     async def close(self) -> None:
         """Our last word; who leads says so, and another need not wait."""
--- a/tests/explore_rollout.py
+++ b/tests/explore_rollout.py
@@ -1,5 +1,5 @@
-"""Walks every history of a few servers, two that lead, and the book between them: stale reads, steps in doubt,
-crashes, restarts, words of lives that are over, times that are over too early.
+"""Walks every history of a few servers, two that lead, and the book between them: stale reads, steps in
+doubt, crashes, restarts, words of lives that are over, times that are over too early.
 
 The book's steps are those of burlloom.rollout. What is counted is counted here: servers that have drained, or
 are draining, because the book let them, and whose next life does not serve yet.
@@ -46,7 +46,9 @@
     def key(self, stale: bool) -> Any:
         """`stale`: what an old page says matters."""
         def units(book: Book) -> Any:
-            return tuple((name, unit.state, unit.life, unit.left) for name, unit in sorted(book.servers.items()))
+            return tuple(
+                (name, unit.state, unit.life, unit.left) for name, unit in sorted(book.servers.items())
+            )
 
         def page(read: tuple[int, Book] | None) -> Any:
             if read is None or read[0] == self.revision:
@@ -63,13 +65,17 @@
 class Explorer:
     """`broken`: a rule left out, to show that the walk would notice."""
 
-    def __init__(self, servers: int = 2, most: int = 1, lives: int = 2, leads: int = 2, broken: str = "") -> None:
+    def __init__(
+        self, servers: int = 2, most: int = 1, lives: int = 2, leads: int = 2, broken: str = ""
+    ) -> None:
         self.count, self.most, self.lives, self.lead_count, self.broken = servers, most, lives, leads, broken
 
     def begun(self) -> World:
         units = {str(at): Unit(State.IN, life=1) for at in range(self.count)}
         book = Book(groups={SERVERS: Group(Budget(self.most), units)})
-        return World(0, book, [Server(hand=Hand(str(at), 1)) for at in range(self.count)], [None] * self.lead_count)
+        return World(
+            0, book, [Server(hand=Hand(str(at), 1)) for at in range(self.count)], [None] * self.lead_count
+        )
 
     def swap(self, world: World, page: tuple[int, Book], book: Book) -> bool:
         if page[0] != world.revision and self.broken != "swap":
@@ -103,7 +109,9 @@
                 continue  # what it wrote would not be taken
             for at, server in enumerate(world.servers):
                 # A word of any life that served until now may be read, late.
-                words = [(what, 0) for what in INPUTS] + [(Input.SEEN, life) for life in range(1, server.life + 1)]
+                words = [(what, 0) for what in INPUTS] + [
+                    (Input.SEEN, life) for life in range(1, server.life + 1)
+                ]
                 words += [(Input.PARTS, server.life)] if server.sent and server.up else []
                 for what, life in words:
                     made = self.step(page[1], str(at), what, life)
@@ -134,8 +142,14 @@
                 mine.read = None
                 made = mine.hand.step(page[1])
                 held = made is not None and heard is not Heard.BEATEN and self.swap(now, page, made)
-                if heard is Heard.UNSURE and not held or heard is Heard.HELD and held or heard is Heard.BEATEN \
-                        and page[0] != world.revision:
+                if (
+                    heard is Heard.UNSURE
+                    and not held
+                    or heard is Heard.HELD
+                    and held
+                    or heard is Heard.BEATEN
+                    and page[0] != world.revision
+                ):
                     self.told(mine, mine.hand.meet(heard))
                     yield now
                 if heard is Heard.UNSURE and held:
--- a/tests/rollout_rig.py
+++ b/tests/rollout_rig.py
@@ -1,5 +1,5 @@
-"""Several processes of the program under a small platform that starts again whatever ends, with the version that
-the book names, and callers that go wherever is open.
+"""Several processes of the program under a small platform that starts again whatever ends, with the version
+that the book names, and callers that go wherever is open.
 
 Who is out is seen from outside: a process that has said that it leaves, has ended, or has not come up yet.
 """
@@ -236,8 +236,11 @@
 
     async def idle(self, version: str) -> Book:
         """Until all run this version and nothing is under way."""
-        return await self.comes_to(lambda book: book.plan.phase is Phase.IDLE and book.good == version and all(
-            unit.version == version and unit.state == 0 for unit in book.servers.values()))
+        return await self.comes_to(
+            lambda book: book.plan.phase is Phase.IDLE
+            and book.good == version
+            and all(unit.version == version and unit.state == 0 for unit in book.servers.values())
+        )
 
     async def says(self, *words: str, status: int = 0) -> str:
         """A command, as a person types it."""
@@ -250,8 +253,19 @@
 
     async def drive(self, name: str) -> asyncio.subprocess.Process:
         driver = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "burlloom.command", "rollout", "drive", "--name", name, "-o", str(self.file),
-            cwd=ROOT, stdout=asyncio.subprocess.DEVNULL, env={**os.environ})
+            sys.executable,
+            "-m",
+            "burlloom.command",
+            "rollout",
+            "drive",
+            "--name",
+            name,
+            "-o",
+            str(self.file),
+            cwd=ROOT,
+            stdout=asyncio.subprocess.DEVNULL,
+            env={**os.environ},
+        )
         self.drivers.append(driver)
         return driver
 
@@ -272,17 +286,22 @@
             await service.stop()
 
     def nothing_lost(self, killed: bool = False) -> None:
-        """Each txn has its answer, none ran twice, none is settled that did not run. Prints the story's figures, for
-        `pytest -s`."""
-        print(f"\n| {len(self.nodes)} | {self.worst} of {self.most} | {self.over} | {self.ends} | {self.asked} |"
-              f" {dict(self.said)} | {self.unanswered} | {sum(count > 1 for count in self.runs.values())} |")
+        """Each txn has its answer, none ran twice, none is settled that did not run. Prints the story's
+        figures, for `pytest -s`."""
+        print(
+            f"\n| {len(self.nodes)} | {self.worst} of {self.most} | {self.over} | {self.ends} |"
+            f" {self.asked} |"
+            f" {dict(self.said)} | {self.unanswered} | {sum(count > 1 for count in self.runs.values())} |"
+        )
         assert killed or not self.unanswered, (self.unanswered, self.said)
         assert self.said["settled"] > 50, self.said
         assert not (twice := [body for body, count in self.runs.items() if count > 1]), twice
         assert all(self.runs[body] == 1 for body in self.receipts)
 
 
-def rolled(count: int, *, on: dict[str, Any] | None = None, **told: Any) -> Callable[[Any], Callable[[Path], None]]:
+def rolled(
+    count: int, *, on: dict[str, Any] | None = None, **told: Any
+) -> Callable[[Any], Callable[[Path], None]]:
     """Makes a test of a story that is told with so many servers; `on`: of each server's part."""
     def wrap(story: Any) -> Callable[[Path], None]:
         def test(tmp_path: Path) -> None:
--- a/tests/test_rollout_core.py
+++ b/tests/test_rollout_core.py
@@ -1,23 +1,21 @@
-"""Drains and releases without I/O: tables walked whole, the budget in every history, the judge against chance."""
+"""Drains and releases without I/O: tables walked whole, the budget in every history, the judge against
+chance."""
 
 from dataclasses import replace
 from itertools import product
-from random import Random
 
 import pytest
+import rig  # noqa: F401  (finds benchmarks/)
 from explore_rollout import Explorer
+from rollout_core import TERMS, S, World
 
-from burlloom.rollout import SERVERS, Book, Budget, Counts, Denied, Group, Lead, Measure, Member, Phase, Plan, Says, State
-from burlloom.rollout import Terms, Unit
-from burlloom.rollout import hand, plan, units
+from burlloom.rollout import SERVERS, Book, Budget, Counts, Denied, Group, Lead, Measure, Member, Phase, Plan
+from burlloom.rollout import State, Unit, hand, plan, units
 from burlloom.rollout.judge import Evidence, Look, Verdict, judge, rates
 from burlloom.rollout.plan import faults, wave_of
 from burlloom.rollout.stores import Unreadable, book_of, text_of
 from burlloom.rollout.units import Input, News
 
-MS, S = 1_000_000, 1_000_000_000
-TERMS = Terms(measure=Measure(span=2 * S, least=50), quiet=60 * S, settle=S, write_off=0)
-
 
 @pytest.mark.parametrize("broken", ["", "swap", "room", "again", "expiry", "permit"])
 def test_every_history_of_two_servers_and_the_book(broken: str) -> None:
@@ -72,7 +70,9 @@
         for what in told:
             before = one.state
             if one.meet(what) == "drain":
-                assert what is hand.Input.SAYS_OUT or (before is hand.State.ASKING and what is hand.Input.HELD)
+                assert what is hand.Input.SAYS_OUT or (
+                    before is hand.State.ASKING and what is hand.Input.HELD
+                )
 
 
 def test_budgets_and_waves() -> None:
@@ -87,8 +87,15 @@
 
 
 def test_the_book_is_read_whole_or_not_at_all() -> None:
-    book = Book("n1/5", 3, 9, "v1", Plan(1, Phase.ROLLING, "v2", "v1", waves=(1, 1.0), reference=rates(Counts(9, 1, 1, 0))),
-                {SERVERS: Group(Budget(2), {"n1": Unit(State.OUT, 5, 5, version="v1")})}, ((1, "began"),))
+    book = Book(
+        "n1/5",
+        3,
+        9,
+        "v1",
+        Plan(1, Phase.ROLLING, "v2", "v1", waves=(1, 1.0), reference=rates(Counts(9, 1, 1, 0))),
+        {SERVERS: Group(Budget(2), {"n1": Unit(State.OUT, 5, 5, version="v1")})},
+        ((1, "began"),),
+    )
     again = book_of(text_of(book))
     assert again == book and [type(wave) for wave in again.plan.waves] == [int, float]
     for at in range(0, len(text_of(book)) - 1, 7):
@@ -96,62 +103,6 @@
             book_of(text_of(book)[:at])
 
 
-class World:
-    """A fleet of the core alone: servers that do as the book lets them, on a clock of its own; `share`: of txns that
-    a version voids."""
-
-    def __init__(self, size: int, budget: Budget, terms: Terms = TERMS, seed: int = 1) -> None:
-        self.chance, self.now, self.terms = Random(seed), 0, terms
-        self.book, self.beat, self.budget = Book(), 0, budget
-        self.members = {f"n{at}": Member(f"n{at}", 1, 0, version="v1", counts=Counts()) for at in range(size)}
-        self.down: dict[str, int] = {}
-        self.voids: dict[str, float] = {}
-        self.frozen: set[str] = set()
-        self.lead = self.new_lead("a")
-        self.worst = 0
-
-    def new_lead(self, name: str) -> Lead:
-        return Lead(name, self.terms, {SERVERS: self.budget})
-
-    def second(self) -> None:
-        for _ in range(4):
-            self.now += S // 4
-            for name, member in self.members.items():
-                if name in self.frozen:
-                    continue
-                if name in self.down:
-                    if self.now >= self.down[name]:
-                        del self.down[name]
-                        self.members[name] = Member(name, member.life + 1, 0, version=self.book.version_of(name))
-                    continue
-                bad = sum(self.chance.random() < self.voids.get(member.version, 0.0) for _ in range(10))
-                self.members[name] = replace(member, beat=member.beat + 1, counts=member.counts.plus(Counts(10 - bad, 0, 0, bad)))
-                one = hand.Hand(name, member.life)
-                if one.reads(self.book) == "ask":
-                    self.book = one.step(self.book) or self.book
-                    self.down[name] = self.now + 2 * S
-            self.beat += self.lead.leads(self.book)
-            taken = self.lead.take(self.now, self.book, self.beat)
-            if taken is not None:
-                self.book = taken
-            elif self.lead.leads(self.book):
-                self.book = self.lead.round(self.now, self.book, list(self.members.values()))
-            self.worst = max(self.worst, len(self.down))
-
-    def until(self, phase: Phase, most: int = 2000) -> int:
-        """Seconds that it took."""
-        for at in range(most):
-            if self.book.plan.phase is phase:
-                return at
-            self.second()
-        raise AssertionError((self.book.plan, self.book.notes))
-
-    def settled(self) -> "World":
-        while len(self.book.servers) < len(self.members) or self.book.groups[SERVERS].taken:
-            self.second()
-        return self
-
-
 def test_a_release_and_its_way_back() -> None:
     for size, budget in ((3, Budget(1)), (30, Budget(share=0.1))):
         world = World(size, budget).settled()
@@ -199,7 +150,9 @@
     for _ in range(30):
         world.second()
     assert world.book.servers["n2"].state is State.MISSING and world.worst <= 1
-    assert sum(unit.version == "v2" for unit in world.book.servers.values()) <= 2  # sent out before it fell silent
+    assert (
+        sum(unit.version == "v2" for unit in world.book.servers.values()) <= 2
+    )  # sent out before it fell silent
     world.frozen.clear()
     world.until(Phase.IDLE)
     assert world.worst == 1 and world.book.good == "v2"
@@ -216,7 +169,8 @@
 
 
 def test_who_did_not_look_takes_nobody_for_silent() -> None:
-    """The store is away for a minute: nobody is missing because of that, nor sent out on what was seen before."""
+    """The store is away for a minute: nobody is missing because of that, nor sent out on what was seen
+    before."""
     world = World(4, Budget(1)).settled()
     world.book = world.book.start("v2", (1.0,), False)
     world.until(Phase.JUDGING)
@@ -308,7 +262,10 @@
     for at in range(100):
         life = 1 if at < 90 else 2
         evidence.add(at, {"a": Look(life, Counts(3 * at), True), "b": Look(1, Counts(at), False)})
-        total = [sum(side.counts.asked for _, *sides in evidence.rounds for side in sides[which:which + 1]) for which in (0, 1)]
+        total = [
+            sum(side.counts.asked for _, *sides in evidence.rounds for side in sides[which : which + 1])
+            for which in (0, 1)
+        ]
         assert [evidence.changed.counts.asked, evidence.others.counts.asked] == total
         assert len(evidence.rounds) <= 50 and (at < 40 or evidence.changed.counts.asked >= 96), at
 
@@ -319,16 +276,18 @@
     assert bare.start("", (1.0,), False, True).plan.phase is Phase.ROLLING
     with pytest.raises(Unreadable, match="newer program"):
         book_of(text_of(replace(book, form=99)))
-    for order, said in ((lambda: Book().start("v2", (1.0,), False), "no server is in"),
-                        (lambda: bare.start("v2", (1.0,), False), "no server tells its version"),
-                        (lambda: book.start("v1", (1.0,), False), "all servers run v1"),
-                        (lambda: book.start("v2", (3, 2, 1.0), False), "waves: numbers first"),
-                        (lambda: book.order(plan.Input.HALT, ""), "nothing to halt: change 0 is idle"),
-                        (lambda: book.ask(SERVERS, "n2", 0), "servers has no 'n2'"),
-                        (lambda: book.ask(SERVERS, "n1", 0), "the only one"),
-                        (lambda: book.ask("db", "n2", 0), "no group 'db'"),
-                        (lambda: book.give(SERVERS, "n1"), "when it is started"),
-                        (lambda: book.allow(SERVERS, Budget(0)), "a budget is"),
-                        (lambda: book.start("v1", (1.0,), False, True).order(plan.Input.ROLLBACK, ""), "no other version")):
+    for order, said in (
+        (lambda: Book().start("v2", (1.0,), False), "no server is in"),
+        (lambda: bare.start("v2", (1.0,), False), "no server tells its version"),
+        (lambda: book.start("v1", (1.0,), False), "all servers run v1"),
+        (lambda: book.start("v2", (3, 2, 1.0), False), "waves: numbers first"),
+        (lambda: book.order(plan.Input.HALT, ""), "nothing to halt: change 0 is idle"),
+        (lambda: book.ask(SERVERS, "n2", 0), "servers has no 'n2'"),
+        (lambda: book.ask(SERVERS, "n1", 0), "the only one"),
+        (lambda: book.ask("db", "n2", 0), "no group 'db'"),
+        (lambda: book.give(SERVERS, "n1"), "when it is started"),
+        (lambda: book.allow(SERVERS, Budget(0)), "a budget is"),
+        (lambda: book.start("v1", (1.0,), False, True).order(plan.Input.ROLLBACK, ""), "no other version"),
+    ):
         with pytest.raises(Denied, match=said):
             order()
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -28,7 +28,9 @@
     assert "all servers run v2" in await made.says("start", "v2", status=2)
     assert "nothing to halt" in await made.says("halt", status=2)
     said = await made.says("show")
-    assert "4 servers, 0 out of 1 allowed; nothing under way; good is v2" in said and "judging to idle" in said, said
+    assert (
+        "4 servers, 0 out of 1 allowed; nothing under way; good is v2" in said and "judging to idle" in said
+    ), said
 
 
 @rolled(4)
@@ -67,8 +69,8 @@
 
 @rolled(4, on={"leads": False})
 async def test_who_leads_is_killed_and_paused_in_a_wave(made: Rollout) -> None:
-    """Three that may lead: the first is killed while a server is out, the second stands still and wakes while the
-    third leads: what it wrote on is over."""
+    """Three that may lead: the first is killed while a server is out, the second stands still and wakes while
+    the third leads: what it wrote on is over."""
     # The servers do not lead here, so that who leads can go without taking a server with it.
     await made.says("start", "v2")
     first = made.drivers[0]
@@ -105,7 +107,8 @@
 
 @rolled(3, waves=["100%"])
 async def test_one_never_comes_back(made: Rollout) -> None:
-    """Its place in the budget is not freed by time; the change halts, and goes on once somebody says that it is gone."""
+    """Its place in the budget is not freed by time; the change halts, and goes on once somebody says that it
+    is gone."""
     for node in made.nodes:
         node.dead = True
     await made.says("start", "v2")
@@ -123,13 +126,14 @@
     await made.comes_to(lambda book: len(book.servers) == 2 and book.plan.phase is Phase.IDLE)
     assert made.worst == 1 and not made.over
     gone.dead = False
+    await made.comes_to(lambda book: len(book.servers) == 3)
     await made.idle("v2")
     made.nothing_lost()
 
 
 def test_one_is_cut_off_from_the_store(tmp_path: Path) -> None:
-    """All agree in the store of record that keeps their charges. One is cut off: it serves on and is not sent out;
-    the rest wait, since it may be gone. Then the store itself restarts, in the middle of a drain."""
+    """All agree in the store of record that keeps their charges. One is cut off: it serves on and is not sent
+    out; the rest wait, since it may be gone. Then the store itself restarts, in the middle of a drain."""
     async def play() -> None:
         database = await Postgres(tmp_path).start()
         database.orders.idle = 0.5  # one that is cut off in a transaction must not hold the others up
@@ -139,7 +143,9 @@
         key.chmod(0o600)
 
         def reached(address: str) -> dict[str, object]:
-            return {"postgres": {"address": address, "key_file": str(key), "hang_ms": 1500, "connect_ms": 1000}}
+            return {
+                "postgres": {"address": address, "key_file": str(key), "hang_ms": 1500, "connect_ms": 1000}
+            }
         async with Rollout(tmp_path, store=reached(database.address), waves=["100%"]) as made:
             # Each server has its own way to the store, and names it once, as its record.
             made.more = lambda node: {
@@ -172,8 +178,9 @@
     said = await made.says("take", "db", first, "--for-s", "60")
     assert "no server calls it" in said and not made.services[0].open
     count = len(made.services[0].calls)
-    assert "no room in the budget of db" in await made.says("take", "db", second, "--for-s", "60", "--wait-s", "1",
-                                                            status=1)
+    assert "no room in the budget of db" in await made.says(
+        "take", "db", second, "--for-s", "60", "--wait-s", "1", status=1
+    )
     assert len(made.services[0].calls) == count
     await made.says("give", "db", first)
     await until(lambda: len(made.services[0].calls) > count)
@@ -196,20 +203,30 @@
     made.nothing_lost()
 
 
-@pytest.mark.parametrize("told, said", [
-    ({"waves": [1, "50%"]}, "waves: the last one is 100%"), ({"waves": ["50%", 1, "100%"]}, "waves: numbers first"),
-    ({"waves": ["x"]}, "rollout.waves.0"), ({"out_most": 0}, "rollout.out_most"),
-    ({"fresh_ms": 1000}, "fresh_ms 1000 is under three of beat_ms"), ({"back_ms": 100}, "back_ms has to be more"),
-    ({"write_off_ms": 100}, "write_off_ms has to be more"), ({"quiet_ms": 100}, "quiet_ms is under judge_ms"),
-    ({"store": {}}, "one store is wanted"), ({"stor": 1}, "rollout.stor: unknown key"),
-    ({"below": {"db": {"addresses": ["10.0.0.1:1", "10.0.0.1:1"]}}}, "10.0.0.1:1 stands twice"),
-    ({"below": {"db": {"addresses": ["10.0.0.1:1", "10.0.0.2:1"], "out_most": 2}}}, "is all of them"),
-    ({"below": {"db": {"addresses": ["10.0.0.1:1", "10.0.0.2:1"]}}}, "not in fleet.services"),
-    ({"store": None}, "rollout.store: is missing, and there is no record"),
-])
+@pytest.mark.parametrize(
+    "told, said",
+    [
+        ({"waves": [1, "50%"]}, "waves: the last one is 100%"),
+        ({"waves": ["50%", 1, "100%"]}, "waves: numbers first"),
+        ({"waves": ["x"]}, "rollout.waves.0"),
+        ({"out_most": 0}, "rollout.out_most"),
+        ({"fresh_ms": 1000}, "fresh_ms 1000 is under three of beat_ms"),
+        ({"back_ms": 100}, "back_ms has to be more"),
+        ({"write_off_ms": 100}, "write_off_ms has to be more"),
+        ({"quiet_ms": 100}, "quiet_ms is under judge_ms"),
+        ({"store": {}}, "one store is wanted"),
+        ({"stor": 1}, "rollout.stor: unknown key"),
+        ({"below": {"db": {"addresses": ["10.0.0.1:1", "10.0.0.1:1"]}}}, "10.0.0.1:1 stands twice"),
+        ({"below": {"db": {"addresses": ["10.0.0.1:1", "10.0.0.2:1"], "out_most": 2}}}, "is all of them"),
+        ({"below": {"db": {"addresses": ["10.0.0.1:1", "10.0.0.2:1"]}}}, "not in fleet.services"),
+        ({"store": None}, "rollout.store: is missing, and there is no record"),
+    ],
+)
 def test_files_that_can_not_be(tmp_path: Path, told: dict[str, object], said: str) -> None:
     path = tmp_path / "operator.jsonnet"
-    path.write_text(json.dumps({"rollout": {"store": {"sqlite": {"path": str(tmp_path / "agreed.db")}}, **told}}))
+    path.write_text(
+        json.dumps({"rollout": {"store": {"sqlite": {"path": str(tmp_path / "agreed.db")}}, **told}})
+    )
     with pytest.raises(Faults) as refused:
         load(path)
     assert any(said in line for line in refused.value.lines), refused.value.lines
