--- a/burlloom/rollout/stores/sqlite.py
+++ b/burlloom/rollout/stores/sqlite.py
@@ -36,6 +36,9 @@
 
     async def prepare(self) -> None:
         def work() -> None:
+            if self.db is not None:
+                self.db.close()
+                self.db = None
             db = connect(self.path)
             try:
                 migrate(db, self.path)
--- a/burlloom/server/rolling.py
+++ b/burlloom/server/rolling.py
@@ -80,17 +80,10 @@
         """`clock`: Unix ns; `steady`: ns of one that nobody sets."""
         from .. import rollout
         from ..rollout import stores
-        self.of, self.stores, self.part, self.shelf, self.name, self.version = (
-            rollout,
-            stores,
-            part,
-            shelf,
-            name,
-            version,
-        )
+        self.of, self.stores, self.part, self.shelf = rollout, stores, part, shelf
+        self.name, self.version, self.steady = name, version, steady
         self.products, self.clock, self.tasks, self.host, self.fleet = products, clock, tasks, host, fleet
-        self.steady = steady
-        self.life = self.former = self.beat = self.told_at = self.heeded = self.ends = 0
+        self.life = self.former = self.beat = self.told_at = self.heeded = 0
         self.counts = [0, 0, 0, 0]  # settled, late, declined, voided
         self.hand: Hand | None = None
         self.lead: Lead | None = None
@@ -179,10 +172,7 @@
                 self.name, self.life, self.beat, says, self.host.well(), self.version, self.heeded,
                 self.of.Counts(*self.counts), self.fleet().reports(), self.former)):
             self.outbid = True
-            log.error(
-                "event=rollout-outbid name=%s: another server with this name was started after this one",
-                self.name,
-            )
+            log.error("event=rollout-outbid name=%s", self.name)  # another was started under it after us
         self.said, self.told_at = says, now
 
     def heed(self, page: Page) -> None:
