--- a/tests/test_rollout_core.py
+++ b/tests/test_rollout_core.py
@@ -8,6 +8,7 @@
 import rig  # noqa: F401  (finds benchmarks/)
 from explore_rollout import Explorer
 from rollout_core import TERMS, S, World
+from rollout_waves import one
 
 from burlloom.rollout import SERVERS, Book, Budget, Counts, Denied, Group, Lead, Measure, Member, Phase, Plan
 from burlloom.rollout import State, Unit, hand, plan, units
@@ -24,6 +25,13 @@
     assert worst == (2 if broken else 1) and (broken or worlds == 28_512), (worlds, worst)
 
 
+def test_a_bad_release_on_whole_servers_in_simulated_time() -> None:
+    """One step in fifty at the store is lost; the lab's checker of the rules looks on."""
+    told = one(10, "agreed", 1, True)
+    assert not told["faults"] and told["most"] == 1 and not told["over"] and told["ever"] == 1, told
+    assert 0 < told["halted"] < 60 and 0 < told["back"] < 30, told
+
+
 def test_units_walked_whole() -> None:
     """Every row is met; what has left counts until a later life is seen, or somebody says that it is gone."""
     met = set()
