--- a/burlloom/rollout/lead.py
+++ b/burlloom/rollout/lead.py
@@ -68,9 +68,8 @@
         )
         self.judged: tuple[int, int, bool, int] | None = None  # which wave the evidence is of
         self.paused = False
-        self.strangers: list[str] = (
-            []
-        )  # who told something once, is not in the book, and says nothing any more
+        # Who told something once, is not in the book, and says nothing any more.
+        self.strangers: list[str] = []
 
     def leads(self, book: Book) -> bool:
         return book.holder == self.name
@@ -121,9 +120,8 @@
         what, life = heard(member, fresh, member is not None and self.watch.silent(now, member))
         effect = ""
         if what is Input.SEEN and member is not None and before is not None and before.life == member.former:
-            book, _ = book.meet(
-                SERVERS, name, Input.PARTS, life=member.former
-            )  # it was back before we looked
+            # It was back before we looked.
+            book, _ = book.meet(SERVERS, name, Input.PARTS, life=member.former)
         if what is not None:
             book, effect = book.meet(SERVERS, name, what, life=life)
         unit = book.servers.get(name)
@@ -218,10 +216,8 @@
             if plan.lost > self.terms.lost_most:
                 return book.decide(plans.Input.LOST, "; ".join(lost)[:200])[0]
         if plan.phase is not Phase.BACKING:
-            found, others = (
-                judge(self.terms.measure, self.evidence, plan.reference),
-                self.evidence.others.counts,
-            )
+            found = judge(self.terms.measure, self.evidence, plan.reference)
+            others = self.evidence.others.counts
             if found.verdict is Verdict.BAD:
                 return book.decide(plans.Input.BAD, found.why)[0]
             if plan.phase is Phase.JUDGING:
@@ -247,9 +243,8 @@
             return False
         if book.plan.backing:
             return all(book.done(unit) for unit in servers)
-        return sum(book.done(unit) and unit.state is State.IN for unit in servers) >= book.plan.wanted(
-            len(servers)
-        )
+        changed = sum(book.done(unit) and unit.state is State.IN for unit in servers)
+        return changed >= book.plan.wanted(len(servers))
 
     # Who may leave.
 
