--- a/burlloom/rollout/lead.py
+++ b/burlloom/rollout/lead.py
@@ -217,14 +217,14 @@
                 return book.decide(plans.Input.LOST, "; ".join(lost)[:200])[0]
         if plan.phase is not Phase.BACKING:
             found = judge(self.terms.measure, self.evidence, plan.reference)
-            others = self.evidence.others.counts
             if found.verdict is Verdict.BAD:
                 return book.decide(plans.Input.BAD, found.why)[0]
             if plan.phase is Phase.JUDGING:
                 return self.judging(now, book, found.verdict)
-            if others.asked >= self.terms.measure.least and plan.reference is None:
-                book = replace(book, plan=replace(plan, reference=rates(others)), steps=book.steps + 1)
         if self.complete(book):
+            beside = self.evidence.beside.counts
+            if not plan.backing and beside.asked >= self.terms.measure.least:
+                book = replace(book, plan=replace(plan, reference=rates(beside)))
             return book.decide(plans.Input.COMPLETE, "")[0]
         return book
 
--- a/tests/test_rollout_core.py
+++ b/tests/test_rollout_core.py
@@ -254,6 +254,7 @@
     assert says(Counts(900, 0, 0, 100), Counts()) is Verdict.GOOD  # nothing to hold it against
     assert says(Counts(400, 0, 0, 600), Counts()) is Verdict.BAD
     assert says(Counts(900, 0, 0, 100), Counts(), Counts(1000)) is Verdict.BAD
+    assert says(Counts(950, 0, 0, 50), Counts(), Counts(1000)) is Verdict.GOOD  # of another hour
     assert says(Counts(400, 0, 600), Counts(400, 0, 600)) is Verdict.GOOD
 
 
