Operator's file: one check that a store is named; who leads keeps no state that nothing reads

Read again at the end: Place and Record had the same check and fields, Record is a Place now; Lead.paused was written and never read.

--- a/burlloom/operator/schema.py
+++ b/burlloom/operator/schema.py
@@ -63,7 +63,20 @@
         return self
 
 
-class Record(Part):
+class Place(Part):
+    """A store of record by itself: its file, or its database."""
+
+    sqlite: Sqlite | None = None
+    postgres: Postgres | None = None
+
+    @model_validator(mode="after")
+    def one_store(self) -> Self:
+        if (self.sqlite is None) == (self.postgres is None):
+            raise ValueError("one store is wanted: either sqlite or postgres")
+        return self
+
+
+class Record(Place):
     """The store of record.
 
     `mode`: where the store is slow or gone, "require" declines charges before they run, "prefer" runs them on
@@ -73,17 +86,13 @@
 
     node: NodeName | None = None
     mode: Literal["require", "prefer"] = "require"
-    sqlite: Sqlite | None = None
-    postgres: Postgres | None = None
     claim_share: Share = 0.25
     hold_share: Share = 0.1
     open_most: int = Field(default=256, ge=1, le=65_536)
     doubt_wait_ms: int = Field(default=8000, ge=0, le=3_600_000)
 
     @model_validator(mode="after")
-    def one_store(self) -> Self:
-        if (self.sqlite is None) == (self.postgres is None):
-            raise ValueError("one store is wanted: either sqlite or postgres")
+    def time_is_left(self) -> Self:
         if self.claim_share + self.hold_share > 1:
             raise ValueError(f"claim_share and hold_share together are {self.claim_share + self.hold_share:g}"
                              " of the SLA time: nothing is left for the run")
@@ -106,19 +115,6 @@
         return self
 
 
-class Place(Part):
-    """A store of record by itself: its file, or its database."""
-
-    sqlite: Sqlite | None = None
-    postgres: Postgres | None = None
-
-    @model_validator(mode="after")
-    def one_store(self) -> Self:
-        if (self.sqlite is None) == (self.postgres is None):
-            raise ValueError("one store is wanted: either sqlite or postgres")
-        return self
-
-
 class Rollout(RolloutPart):
     """`store`: where the fleet agrees, the same for all; left out: where the record is."""
 
@@ -135,7 +131,7 @@
     recovery: RecoveryPart | None = None
     rollout: Rollout | None = None
 
-    def rollout_store(self) -> Place | Record:
+    def rollout_store(self) -> Place:
         """Of a file that was checked."""
         place = self.rollout.store if self.rollout is not None and self.rollout.store is not None else self.record
         assert place is not None
--- a/burlloom/record/opening.py
+++ b/burlloom/record/opening.py
@@ -9,12 +9,12 @@
 from .store import Refused, Store
 
 if TYPE_CHECKING:
-    from ..operator import Place, Record
+    from ..operator import Place
 
 PAGE_BYTES = 4096
 
 
-def sealer_of(record: "Record | Place", make: bool) -> Sealer:
+def sealer_of(record: "Place", make: bool) -> Sealer:
     """Raises `Refused`."""
     place = record.sqlite.key_place() if record.sqlite is not None else None
     if place is None:
@@ -39,7 +39,7 @@
         raise Refused(f"{file}: {error}") from error
 
 
-def store_of(record: "Record | Place", node: str, keep: int, clock: Callable[[], int] = time.time_ns) -> tuple[Store, Sealer]:
+def store_of(record: "Place", node: str, keep: int, clock: Callable[[], int] = time.time_ns) -> tuple[Store, Sealer]:
     """`keep`: ns that a mark stays past the end of its window. Raises `Refused`."""
     sealer = sealer_of(record, True)
     if record.sqlite is not None:
--- a/burlloom/rollout/lead.py
+++ b/burlloom/rollout/lead.py
@@ -67,7 +67,6 @@
             terms.measure.span, terms.measure.least, max(terms.quiet, terms.measure.span)
         )
         self.judged: tuple[int, int, bool, int] | None = None  # which wave the evidence is of
-        self.paused = False
         # Who told something once, is not in the book, and says nothing any more.
         self.strangers: list[str] = []
 
@@ -273,8 +272,7 @@
             if unit.asked and unit.state is State.IN and (group != SERVERS or name in fresh):
                 book, _ = send(book, group, name)
         plan = book.plan
-        self.paused = plan.phase is Phase.ROLLING and self.strained()
-        if not plan.moving or self.paused:
+        if not plan.moving or plan.phase is Phase.ROLLING and self.strained():
             return book
         # The way back also takes those that never got well with the new version.
         may = (State.IN, State.BACK, State.MISSING) if plan.backing else (State.IN,)
