Configuration: a server that calls nothing below is told of no catalogue, and starts

The log of n3 has one line: `config.json: 'catalog' is missing`. Checked by a trial on a scratch copy that prints what each server is told: servers of the last tier (`depends_on` "off", `tier` 1 of 2) get no `catalog`; those of the first tier do. Ruled out: other absent parts (tenants are an empty list, all else is there), limits and ports.

At fault: configuration.py, `catalogue=address(got["catalog"])`, taken for granted. Now it is wanted where `depends_on` says that something lies below, and may be absent elsewhere. A pool without an address reaches nothing and says so; so does one that a reload leaves without.

Test: test_a_server_that_calls_nothing_is_told_of_no_catalogue starts the program so, serves, reloads, and ends a run that calls all the same; without the fix the program ends with status 2 (rig.py, `assert returncode is None`). Where calls are made, a missing or empty `catalog` still ends the start: two more cases of test_broken_configuration.

--- a/burlloom/catalogue/pool.py
+++ b/burlloom/catalogue/pool.py
@@ -99,11 +99,12 @@
 
 
 class Pool:
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(self, address: tuple[str, int] | None) -> None:
+        """`None`: this server was told of no catalogue, and reaches none."""
         self.aim(address)
         self.kept: list[tuple[socket.socket, int]] = []
 
-    def move(self, address: tuple[str, int]) -> None:
+    def move(self, address: tuple[str, int] | None) -> None:
         """New calls go to this address; those on their way may finish where they are."""
         if address != self.address:
             self.aim(address)
@@ -115,8 +116,8 @@
             self.end(sock, Reason.MOVED, "")
         self.kept.clear()
 
-    def aim(self, address: tuple[str, int]) -> None:
-        self.address, self.host = address, f"{address[0]}:{address[1]}"
+    def aim(self, address: tuple[str, int] | None) -> None:
+        self.address, self.host = address, f"{address[0]}:{address[1]}" if address is not None else ""
 
     async def call(self, id: str, body: bytes, patience: int, kept: bool) -> tuple[Answer, bytes]:
         """One call; given up when `patience` is over, or the task is cancelled.
@@ -126,6 +127,8 @@
         """
         sock: socket.socket | None = None
         address = self.address
+        if address is None:
+            return Answer.UNREACHED, b""
         reply, wrote, keep, reason, detail = Reply(), False, False, Reason.GIVEN_UP, ""
         try:
             async with asyncio.timeout(max(0, patience) / SECOND):
--- a/burlloom/catalogue/spread.py
+++ b/burlloom/catalogue/spread.py
@@ -24,7 +24,7 @@
         for address in addresses:
             self.pools.setdefault(address, Pool(address))
 
-    def move(self, address: Address) -> None:
+    def move(self, address: Address | None) -> None:
         """The platform's one address is not used."""
 
     async def call(self, id: str, body: bytes, patience: int, kept: bool) -> tuple[Answer, bytes]:
--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -128,8 +128,9 @@
         self.pool.move(orders.catalogue)
         self.reports.move(orders.naming)
         self.front.most = room(orders.sockets)
-        log.info("event=reloaded executor=%s:%d catalogue=%s:%d naming=%s:%d",
-                 *orders.executor, *orders.catalogue, *orders.naming)
+        log.info("event=reloaded executor=%s:%d catalogue=%s naming=%s:%d",
+                 *orders.executor, "%s:%d" % orders.catalogue if orders.catalogue is not None else "none",
+                 *orders.naming)
 
     # A txn's way.
 
--- a/burlloom/server/configuration.py
+++ b/burlloom/server/configuration.py
@@ -23,7 +23,7 @@
     listen: Address
     executor: Address
     naming: Address
-    catalogue: Address
+    catalogue: Address | None  # None at servers that call nothing below: they are told no address
     seed: int
     stop: int
     facts: ServerFacts
@@ -51,13 +51,13 @@
         known, meters = facts(got["settings"])
         if not known.products or known.cores < 1 or known.memory_kb <= 0 or int(got["stop_ms"]) < 0:
             raise ValueError("settings without products, cores, memory or time to stop")
-        limits = got.get("limits") or {}
+        limits, below = got.get("limits") or {}, got["settings"]["extra"].get("depends_on", "off")
         return Orders(
             name=os.environ.get("EDGE_NAME") or str(got["name"]),
             listen=address(os.environ.get("EDGE_LISTEN") or got["listen"]),
             executor=address(got["executor"]),
             naming=address(got["naming"]),
-            catalogue=address(got["catalog"]),
+            catalogue=address(got["catalog"]) if "catalog" in got or below != "off" else None,
             seed=int(got["seed"], 16),
             stop=int(got["stop_ms"]) * MS,
             sockets=int(limits.get("sockets", SOCKETS)),
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -56,7 +56,8 @@
         for name, part in (("executor", self.executor), ("naming", self.naming), ("catalog", self.catalogue)):
             if part is not self.catalogue or not self.shared:
                 await part.start()
-            self.told[name] = part.address
+            if name in self.told:
+                self.told[name] = part.address
         self.told["listen"] = "127.0.0.1:0"
         self.write_orders()
         self.log_path = self.folder / "log"
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -698,7 +698,7 @@
 
 BROKEN = [None, "", "[]", "{}", broken(listen="here"), broken(listen="127.0.0.1:TAKEN"), broken(settings={}),
           broken(settings={**GIVEN["settings"], "categories": []}), broken(seed="xyz"), broken(seed=7),
-          broken(stop_ms="soon")]
+          broken(stop_ms="soon"), broken(catalog=None), json.dumps({key: GIVEN[key] for key in GIVEN if key != "catalog"})]
 
 
 @pytest.mark.parametrize("text", BROKEN, ids=range(len(BROKEN)))
@@ -712,6 +712,27 @@
     assert (done.returncode, done.stdout, done.stderr.count(b"\n")) == (2, b"", 1), done
 
 
+def test_a_server_that_calls_nothing_is_told_of_no_catalogue(tmp_path: Path) -> None:
+    """Those of a last tier: without `catalog`, they start, serve and reload. A run that calls all the same is ended."""
+    async def play() -> None:
+        rig = Rig(tmp_path, depends_on="off")
+        del rig.told["catalog"]
+        async with rig:
+            balancer = await rig.balancer()
+            await gets_one(rig, balancer)
+            answer = balancer.ask("pay", fields(once="k"))
+            id = await rig.command("EXEC", "pay")
+            rig.reload()
+            await until(lambda: "event=reloaded" in rig.log())
+            assert " catalogue=none " in rig.log()
+            rig.executor.callout(id)
+            await until(lambda: f"event=call-failed id={id} answer=unreached" in rig.log())
+            rig.executor.exit(id, "KILLED")
+            await fails(answer, "Voided")
+            assert not rig.catalogue.calls
+    asyncio.run(play())
+
+
 @played(n_cores=4)
 async def test_reloads_move_to_new_addresses(rig: Rig) -> None:
     """Runs, notice numbers and a call in flight carry on; what the old link lost is said on the new one."""
