Connections: bytes that come in the moment of an end are not lost; one orderly close on every way out

At fault, and mended: - rpc/connection.py, `stop()` cancels the reader: where `sock_recv_into` had finished in that turn of the loop, the bytes were out of the kernel, `unread()` saw nothing, and a whole request went with the cancellation: deaf, silent and full connections ("assert [] == [1]"). The same in catalogue/pool.py, where the time-out comes in the turn of the reply ("OUT_OF_TIME, b''" for a reply that was there). `sock.close()` over unread bytes reset the connection ("ConnectionResetError").

Ruled out, kept as tests: a second notice or SIGHUP as the loop has closed (uvloop leaves its handlers), half a line as its connection is asked to go, a request in the kernel as a drain ends (its readers still had a turn).

--- a/burlloom/catalogue/pool.py
+++ b/burlloom/catalogue/pool.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from ..sockets import MS, SECOND, Ended, Reason, stream
+from ..sockets import MS, SECOND, Ended, Inlet, Reason, stream
 
 log = logging.getLogger(__name__)
 
@@ -130,6 +130,7 @@
         if address is None:
             return Answer.UNREACHED, b""
         reply, wrote, keep, reason, detail = Reply(), False, False, Reason.GIVEN_UP, ""
+        until = time.monotonic_ns() + patience
         try:
             async with asyncio.timeout(max(0, patience) / SECOND):
                 loop = asyncio.get_running_loop()
@@ -137,7 +138,8 @@
                 if new:
                     await loop.sock_connect(sock, address)
                 wrote = True
-                await loop.sock_sendall(sock, self.text(id, body, patience))
+                # What the dial took is no longer ours to wait: the other side would work on for nobody.
+                await loop.sock_sendall(sock, self.text(id, body, until - time.monotonic_ns()))
                 await self.read(sock, reply)
             keep = reply.keep
             reason = Reason.NOT_KEPT
@@ -171,9 +173,9 @@
         return head.encode() + body
 
     async def read(self, sock: socket.socket, reply: Reply) -> None:
-        loop, room = asyncio.get_running_loop(), memoryview(bytearray(READ_BYTES))
+        inlet, room = Inlet(sock), memoryview(bytearray(READ_BYTES))
         while not reply.over:
-            size = await loop.sock_recv_into(sock, room)
+            size = await inlet.receive(room)
             if not size:
                 raise Ended(Reason.PEER_CLOSED, "before the reply was whole")
             reply.feed(room[:size])
--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -215,9 +215,10 @@
             self.calls.add(now, outcome is not Outcome.TIMED_OUT)
         self.meet(now, ref, Input.BACK if outcome is Outcome.OK else Input.BROKE)
 
-    def leaving(self, now: int, stop: int) -> None:
+    def leaving(self, now: int, noticed: int, stop: int) -> None:
+        """`noticed` is when the notice came, by the most cautious reckoning: the grace counts from there."""
         self.tick(now)
-        self.stop, self.last_arrival = stop, now + self.facts.grace
+        self.stop, self.last_arrival = stop, noticed + self.facts.grace
         self.signal()
         self.advance()
 
--- a/burlloom/desk/desk.py
+++ b/burlloom/desk/desk.py
@@ -106,7 +106,7 @@
     def report(self, news: AtCall | RunEnded | CallEnded | Recalled | Leaving) -> None:
         now = self.clock()
         if isinstance(news, Leaving):
-            self.choice.leaving(now, news.stop)
+            self.choice.leaving(now, news.noticed, news.stop)
         elif (ref := self.refs.get(news.id, -1)) < 0:
             log.info("event=late news=%s id=%s", type(news).__name__, news.id)
         elif isinstance(news, AtCall):
--- a/burlloom/desk/steps.py
+++ b/burlloom/desk/steps.py
@@ -81,4 +81,5 @@
 
 @dataclass(frozen=True, slots=True)
 class Leaving:
+    noticed: int  # when the notice came, at the earliest
     stop: int
--- a/burlloom/executor/link.py
+++ b/burlloom/executor/link.py
@@ -1,12 +1,13 @@
 """Keeps the link to the executor; what was said on a lost one is said again only where that is safe."""
 
 import asyncio
+import contextlib
 import logging
 import socket
 from collections.abc import Callable
 from enum import Enum
 
-from ..sockets import SECOND, Buffer, Ended, Reason, Tasks, Writer, rest, stream
+from ..sockets import SECOND, Buffer, Ended, Inlet, Reason, Tasks, Writer, rest, stream
 from . import lines
 
 log = logging.getLogger(__name__)
@@ -78,7 +79,8 @@
             # Against a link that stays open with nobody at its other end: a new one brings what was missed.
             log.warning("event=executor-silent rounds=%d", self.silent)
             self.silent = 0
-            self.writer.sock.shutdown(socket.SHUT_RDWR)
+            with contextlib.suppress(OSError):  # it may have been reset just now, and its reader knows it next
+                self.writer.sock.shutdown(socket.SHUT_RDWR)
         return asked.result() if done and asked is not None else None
 
     def meter(self) -> "asyncio.Future[list[float] | None]":
@@ -149,12 +151,12 @@
         self.metered.clear()
 
     async def listen(self, sock: socket.socket) -> None:
-        loop, buffer = asyncio.get_running_loop(), Buffer(READ_BYTES, 4 * lines.BODY_MOST)
+        inlet, buffer = Inlet(sock), Buffer(READ_BYTES, 4 * lines.BODY_MOST)
         # A write that fails is followed by a read that fails too.
         self.writer = Writer(sock, self.tasks, lambda: None)
         self.writer.post(f"JOIN {self.read_last}\r\n".encode())
         while True:
-            size = await loop.sock_recv_into(sock, buffer.room())
+            size = await inlet.receive(buffer.room())
             if not size:
                 return
             buffer.end += size
--- a/burlloom/rpc/connection.py
+++ b/burlloom/rpc/connection.py
@@ -1,12 +1,13 @@
 """One connection of a balancer, or of whoever else found the address."""
 
 import asyncio
+import contextlib
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any, Protocol
 
-from ..sockets import MS, Buffer, Ended, Reason, Tasks, Writer
+from ..sockets import MS, Buffer, Ended, Inlet, Reason, Tasks, Writer, part, unread
 from . import frames
 from .txns import Asked, Known, Malformed, txn
 
@@ -17,6 +18,8 @@
 UNSENT_MOST = 512 << 10  # one that waits for 32 answers can't be owed as much
 BAD_MOST = 4  # txns that can't be taken or that nobody knows, until the connection goes
 SHUTDOWN = frames.notification("shutdown")
+GONE = (Reason.PEER_CLOSED, Reason.PEER_RESET)  # nobody is there to be told anything
+AT_ONCE = (Reason.PEER_RESET, Reason.NOT_READING, Reason.FULL)  # an orderly close has no use, or no time
 
 
 class Around(Protocol):
@@ -33,73 +36,96 @@
 
     def told(self, caller: str) -> dict[str, str]: ...
     def ended(self, connection: "Connection") -> None: ...
+    def parting(self, ending: Coroutine[Any, Any, None]) -> None: ...
     async def moment(self) -> None: ...
 
 
 class Connection:
     def __init__(self, front: Around, sock: socket.socket, peer: str) -> None:
         self.front, self.sock, self.peer = front, sock, peer
-        self.buffer = Buffer(READ_BYTES, 2 * frames.MOST)
+        self.buffer, self.inlet = Buffer(READ_BYTES, 2 * frames.MOST), Inlet(sock)
         self.writer = Writer(sock, front.tasks, self.broken)
         self.open: dict[int, Asked] = {}
         self.last_number = -1
         self.used = self.told_at = front.clock()
         self.partial_since = 0  # when the message that is not yet whole began
         self.txns = self.answers = self.bad = 0
-        self.heard = self.told_shutdown = self.health_only = self.ended = False
+        self.heard = self.told_shutdown = self.health_only = self.half_closed = self.ended = False
         self.caller = ""  # as it named itself last
-        self.reason, self.detail = Reason.PEER_RESET, ""  # where the reader is stopped from outside
+        self.detail = ""
         self.reader: asyncio.Task[None] | None = None
 
     async def serve(self) -> None:
-        reason = Reason.FAULT
-        try:
+        """Its reader, from its start to its end; whoever ends it from outside calls `close` or `stop`."""
+        with self.ending():
             await self.read()
-            reason = Reason.PEER_CLOSED
-            if self.told_shutdown:
-                reason = Reason.LEAVING if self.front.leaving else Reason.IDLE
+            self.close(Reason.PEER_CLOSED if not self.told_shutdown
+                       else Reason.LEAVING if self.front.leaving else Reason.IDLE)
+
+    @contextlib.contextmanager
+    def ending(self) -> Iterator[None]:
+        """Whatever goes wrong within ends the connection."""
+        try:
+            yield
         except Ended as ended:
-            reason, self.detail = ended.reason, str(ended)
+            self.stop(ended.reason, str(ended))
         except OSError as error:
-            reason, self.detail = Reason.PEER_RESET, error.strerror or ""
+            self.stop(Reason.PEER_RESET, error.strerror or "")
         except asyncio.CancelledError:
-            reason = self.reason
+            self.close(Reason.FAULT)  # nothing to do where `close` is what cancelled it
         except Exception:
             log.exception("event=fault side=balancer peer=%s", self.peer)
-        self.close(reason)
+            self.close(Reason.FAULT)
 
     async def read(self) -> None:
-        loop, buffer, clock = asyncio.get_running_loop(), self.buffer, self.front.clock
-        while True:
-            size = await loop.sock_recv_into(self.sock, buffer.room())
-            if not size:
+        while not self.ended:
+            if not (size := await self.inlet.receive(self.buffer.room())):
                 # The other side may have closed only its half, and still be owed answers.
+                self.half_closed = True
                 while self.open or self.writer.unsent:
                     await self.front.moment()
                 return
-            now = clock()
-            buffer.end += size
-            try:
-                while buffer.start < buffer.end:
-                    buffer.start, request = frames.request(buffer.view, buffer.start, buffer.end)
-                    self.used, self.heard, self.partial_since = now, True, 0
-                    self.take(now, *request)
-            except frames.Short:
-                self.partial_since = self.partial_since or now
+            self.came(size)
+
+    def came(self, size: int) -> None:
+        """Takes what is whole of the bytes that lie in the buffer, `size` of them new."""
+        buffer, now = self.buffer, self.front.clock()
+        buffer.end += size
+        try:
+            while buffer.start < buffer.end and not self.ended:
+                buffer.start, request = frames.request(buffer.view, buffer.start, buffer.end)
+                self.used, self.heard, self.partial_since = now, True, 0
+                self.take(now, *request)
+        except frames.Short:
+            self.partial_since = self.partial_since or now
+
+    def last_call(self) -> None:
+        """Takes what lies unread, where the loop will not come to it any more: each whole request is answered."""
+        with self.ending():
+            while not self.ended and not self.half_closed and unread(self.sock):
+                self.came(self.sock.recv_into(self.buffer.room()))
 
     def close(self, reason: Reason) -> None:
-        """Whoever sent what no balancer sends is owed no result: what is open is answered with an error."""
+        """Every way out leads through here, once.
+
+        Whoever sent what no balancer sends is owed no result: what is open is answered with an error.
+        """
         if self.ended:
             return
-        lost = list(self.open.values())
-        if reason not in (Reason.PEER_CLOSED, Reason.PEER_RESET):
+        self.ended, lost = True, list(self.open.values())
+        self.front.ended(self)
+        if reason not in GONE:
             for asked in lost:
                 asked.void()
             self.writer.flush()
-        self.ended = True
-        self.front.ended(self)
-        self.writer.end()
-        self.sock.close()
+        self.inlet.rest()
+        if self.reader is not None and self.reader is not asyncio.current_task():
+            self.reader.cancel()
+        if reason in AT_ONCE or self.half_closed and not self.writer.unsent:
+            self.writer.end()
+            self.sock.close()
+        else:
+            self.front.parting(part(self.sock, self.writer))
         self.open.clear()
         for asked in lost:
             self.front.lost(asked)
@@ -108,10 +134,9 @@
                  self.detail)
 
     def stop(self, reason: Reason, detail: str = "") -> None:
-        """Ends it from outside of its reader."""
-        self.reason, self.detail = reason, detail
-        if self.reader is not None:
-            self.reader.cancel()
+        if not self.ended:
+            self.detail = detail
+            self.close(reason)
 
     def broken(self) -> None:
         self.stop(Reason.PEER_RESET)
--- a/burlloom/server/__main__.py
+++ b/burlloom/server/__main__.py
@@ -1,14 +1,17 @@
 """`python -m burlloom.server`: one real server, told what it is by its environment."""
 
+import asyncio
 import gc
 import os
 import signal
 import socket
 import sys
 from collections.abc import Callable
+from types import FrameType
 
-# Before the slow imports: a reload asked for while the program starts must wait for its handler, not end it.
-signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+# Before the slow imports: a signal that comes while the program starts waits for its handler, and doesn't end it.
+HEARD = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+signal.pthread_sigmask(signal.SIG_BLOCK, HEARD)
 
 import uvloop  # noqa: E402
 
@@ -29,7 +32,24 @@
 
 async def serve(listener: socket.socket, fitted: Fitted) -> None:
     orders, keeping, leveling, fleeting, recovering, rolling = fitted
-    await Server(orders, listener, keeping, leveling, fleeting, recovering, rolling).run()
+    server, loop = Server(orders, listener, keeping, leveling, fleeting, recovering, rolling), asyncio.get_running_loop()
+
+    def heard(number: int, _: FrameType | None) -> None:
+        if number == signal.SIGHUP:
+            loop.call_soon_threadsafe(server.reload)
+        else:
+            loop.call_soon_threadsafe(server.leave, server.clock.last)
+
+    # Not by the loop's handlers: the loop would restore the defaults as it closes, and a signal then would end
+    # what has gone well with another status. Ours stay until the signals are ignored for good.
+    for number in HEARD:
+        signal.signal(number, heard)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HEARD)
+    try:
+        await server.run()
+    finally:
+        for number in HEARD:
+            signal.signal(number, signal.SIG_IGN)
 
 
 def switched_on(orders: Orders, path: str) -> Fitted:
--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import signal
 import socket
 import time
 from collections.abc import Callable
@@ -93,15 +92,8 @@
         self.reports = Reports(orders.naming, orders.name)
 
     async def run(self) -> None:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            asyncio.get_running_loop().add_signal_handler(number, self.leave)
         await self.record.open()
         await self.fleet.open()
-        # Not by the loop's handler: the loop would restore the default as it closes, and a reload then would
-        # end what has gone well. Ours stays until the signal is ignored for good.
-        loop = asyncio.get_running_loop()
-        signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(self.reload) and None)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self.front.listen()
         self.tasks.start(self.link.keep(), "executor")
         self.tasks.start(self.reports.keep(), "naming")
@@ -109,7 +101,6 @@
         self.rolling.open()
         log.info("event=listening name=%s address=%s:%d", self.orders.name, *self.address)
         await self.over.wait()
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         await self.rolling.close()
         self.levels.close()
         self.recovery.close()
@@ -303,15 +294,17 @@
 
     # The way out.
 
-    def leave(self) -> None:
+    def leave(self, noticed: int = 0) -> None:
+        """`noticed`: when the clock was last looked at before the notice was heard. It was sent after that; by how
+        much, a process that had stood still can't tell, and counts grace and kill from the earlier."""
         if self.leaving:
             return
         self.leaving = True
-        now = self.clock()
+        now = noticed or self.clock()
         stop = now + max(self.orders.stop - LAST_WRITES, 0)
         log.info("event=leaving stop_ms=%d", self.orders.stop // MS)
         if self.desk is not None:
-            self.desk.report(Leaving(stop))
+            self.desk.report(Leaving(now, stop))
             self.reports.tell(False)
         self.tasks.start(self.drain(now, stop), "drain")
 
@@ -325,4 +318,5 @@
             await rest(MOMENT)
         while (self.front.busy or self.serving) and self.clock() < stop + LAST_WRITES // 2:
             await rest(MOMENT)
+        await self.front.close(stop + LAST_WRITES * 3 // 4 - self.clock())
         self.over.set()
--- a/burlloom/sockets/writer.py
+++ b/burlloom/sockets/writer.py
@@ -66,6 +66,12 @@
         finally:
             self.task = None
 
+    async def emptied(self) -> None:
+        """Until all that was posted has left, or can't."""
+        self.flush()
+        while self.task is not None:
+            await asyncio.wait({self.task})
+
     def end(self) -> None:
         self.ended = True
         self.posted.clear()
--- a/burlloom/wirehost/host.py
+++ b/burlloom/wirehost/host.py
@@ -139,7 +139,7 @@
             return lambda: choice.woke(now, handle, gauges)
         if name == "WIND_DOWN":
             stop = codec.nanos(values[2])
-            return lambda: choice.leaving(now, stop)
+            return lambda: choice.leaving(now, now, stop)
         if name == "ASK":
             txn = self.txn(instance, values)
             return lambda: choice.arrived(now, txn)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -23,7 +23,7 @@
     async def story() -> None:
         desk = Desk(known, ("look", "pay"), 1, lambda: now[0], 100 * SECOND, 1 << 20)
         seats = [desk.take(tried(f"t{n}")) for n in range(30)]  # some run, some are held
-        desk.report(Leaving(now[0]))  # the held are given up; their answers are not handed out yet
+        desk.report(Leaving(now[0], now[0]))  # the held are given up; their answers are not handed out yet
         late = desk.take(tried("late"))
         assert isinstance(late, Seat) and desk.knows("late")
         for _ in range(3):
--- /dev/null
+++ b/tests/test_races.py
@@ -0,0 +1,358 @@
+"""Rare moments: what comes in the very turn in which something else ends. Each test forces the bad order on real
+connections; docs/races.md lists the places and the findings."""
+
+import asyncio
+import os
+import signal
+import socket
+import struct
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import msgpack
+import pytest
+import uvloop
+from rig import Rig, gets, played, soon, until
+from burlloom.catalogue import Answer, Pool
+from burlloom.executor import Link
+from burlloom.rpc import Asked, Front, Known
+from burlloom.sockets import MS, SECOND, Tasks
+from burlloom.standins.parts import fields
+
+KNOWN = Known({"look": False}, (), 6 * SECOND)
+
+
+class Place:
+    """A front on the loopback, with a clock that we move; every request it hands over is kept, unanswered."""
+
+    def __init__(self, most: int = 8) -> None:
+        self.now, self.asked, self.lost = time.time_ns(), list[Asked](), list[Asked]()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self.listener.getsockname()
+        self.front = Front(self.listener, KNOWN, most, Tasks(), lambda: self.now, self.asked.append, self.lost.append,
+                           lambda id: False, lambda: True, lambda caller: "")
+        self.front.listen()
+
+    async def client(self) -> "Client":
+        known = set(self.front.connections)
+        sock = socket.create_connection(self.address)
+        await until(lambda: self.front.connections - known)
+        return Client(sock, (self.front.connections - known).pop())
+
+    async def rested(self) -> "Client":
+        """One that has spoken, was asked to go, and rests until we end it."""
+        client = await self.client()
+        client.sock.sendall(request(1, "health", {}))
+        await until(lambda: client.there.heard)
+        self.now += 60 * SECOND
+        self.front.sweep()
+        self.front.sweep()  # the first may take the leap of the clock for a pause
+        assert client.there.told_shutdown
+        self.now += 2 * SECOND
+        return client
+
+
+class Client:
+    def __init__(self, sock: socket.socket, there: Any) -> None:
+        self.sock, self.there = sock, there
+
+    async def rest(self) -> list[Any]:
+        """All that comes to the end; raises if the connection is reset instead of closed."""
+        self.sock.setblocking(False)
+        unpacker, loop = msgpack.Unpacker(), asyncio.get_running_loop()
+        while data := await soon(loop.sock_recv(self.sock, 1 << 16)):
+            unpacker.feed(data)
+        return list(unpacker)
+
+
+def request(number: int, product: str, *params: Any) -> bytes:
+    return bytes(msgpack.packb([0, number, product, params]))
+
+
+def ask(number: int, now: int) -> bytes:
+    return request(number, "look", fields(at=str(now // MS)), b"body")
+
+
+def on_loop(story: Callable[[], Awaitable[None]]) -> Callable[[], None]:
+    def test() -> None:
+        uvloop.run(story())  # type: ignore[arg-type]
+    test.__name__, test.__doc__ = story.__name__, story.__doc__
+    return test
+
+
+async def turns(count: int = 10) -> None:
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+def in_one_turn(first: Callable[[], Any], then: Callable[[], Any]) -> None:
+    """What `first` sends is seen by the loop before `then` runs, and by whoever waits for it only after."""
+    first()
+    asyncio.get_running_loop().call_soon(then)
+
+
+@on_loop
+async def test_a_request_comes_as_its_deaf_connection_is_closed() -> None:
+    place = Place()
+    client = await place.rested()
+    in_one_turn(lambda: client.sock.sendall(ask(2, place.now)), place.front.sweep)
+    await turns()
+    assert [asked.number for asked in place.asked] == [2]
+    place.asked[0].settle(b"served")
+    await turns()
+    place.now += 2 * SECOND
+    place.front.sweep()
+    assert [1, 2, None, [b"served", {}]] in await client.rest()
+
+
+@on_loop
+async def test_a_first_request_comes_as_its_silent_connection_is_closed() -> None:
+    place = Place()
+    client = await place.client()
+    place.now += 1600 * MS
+    place.front.swept = place.now - 250 * MS
+    in_one_turn(lambda: client.sock.sendall(ask(1, place.now)), place.front.sweep)
+    await turns()
+    assert [asked.number for asked in place.asked] == [1] and not place.lost
+    place.asked[0].settle(b"served")
+    client.sock.shutdown(socket.SHUT_WR)
+    assert await client.rest() == [[1, 1, None, [b"served", {}]]]
+
+
+@on_loop
+async def test_a_request_comes_as_its_connection_goes_for_a_newcomer() -> None:
+    place = Place(most=1)
+    client = await place.client()
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        newcomer = socket.create_connection(other.getsockname())
+        accepted = other.accept()
+        in_one_turn(lambda: client.sock.sendall(ask(1, place.now)), lambda: place.front.met(*accepted))
+        await turns()
+    assert [asked.number for asked in place.asked] == [1] and not place.lost
+    place.asked[0].settle(b"served")
+    client.sock.shutdown(socket.SHUT_WR)
+    assert await client.rest() == [[1, 1, None, [b"served", {}]]]
+    newcomer.close()
+
+
+@on_loop
+async def test_an_answer_on_its_way_is_not_cut_by_the_close() -> None:
+    """The kernel takes a part of what a slow reader is owed; then bytes come that end the connection."""
+    place = Place()
+    client = await place.client()
+    client.there.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32768)
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
+    client.sock.sendall(b"".join(ask(number, place.now) for number in range(1, 5)))
+    await until(lambda: len(place.asked) == 4)
+    for asked in place.asked:
+        asked.settle(b"x" * 100_000)
+    await turns()
+    assert client.there.writer.task is not None
+    client.sock.sendall(b"\xc1")
+    await until(lambda: client.there.ended)
+    assert [len(answer[3][0]) for answer in await client.rest()] == [100_000] * 4
+
+
+@on_loop
+async def test_a_close_over_unread_bytes_is_no_reset() -> None:
+    """Whoever goes on sending as we end the connection still gets its answers, and an end in good order."""
+    place = Place()
+    client = await place.client()
+    client.sock.sendall(ask(1, place.now))
+    await until(lambda: place.asked)
+    place.asked[0].settle(b"served")
+    client.sock.sendall(b"\xc1" + b"z" * 60_000)
+    answers = await client.rest()
+    assert answers == [[1, 1, None, [b"served", {}]]]
+    client.sock.close()
+
+
+@on_loop
+async def test_half_a_line_as_its_connection_is_asked_to_go() -> None:
+    """The rest of it may still come within its time; then the request is answered there."""
+    place = Place()
+    client = await place.rested()
+    whole = ask(2, place.now)
+    client.sock.sendall(whole[:9])
+    await until(lambda: client.there.partial_since)
+    place.front.sweep()
+    client.sock.sendall(whole[9:])
+    await until(lambda: place.asked)
+    place.asked[0].settle(b"served")
+    client.sock.shutdown(socket.SHUT_WR)
+    assert (await client.rest())[-1] == [1, 2, None, [b"served", {}]]
+
+
+@on_loop
+async def test_no_process_is_too_late_to_let_go_of_the_silent() -> None:
+    """Each look comes long after the one before, as where the cores are short; the silent go all the same."""
+    place = Place()
+    client = await place.client()
+    for _ in range(4):
+        place.now += SECOND
+        place.front.sweep()
+    assert await client.rest() == [] and client.there.ended
+
+
+@on_loop
+async def test_closes_under_way_count_as_connections() -> None:
+    """Those who never close their half hold a descriptor: a newcomer takes the place of the oldest of them."""
+    place = Place(most=3)
+    clients = [await place.client() for _ in range(3)]
+    for client in clients:
+        client.sock.sendall(b"\xc1")
+    await until(lambda: len(place.front.partings) == 3)
+    await place.client()
+    await until(lambda: len(place.front.partings) == 2)
+    assert len(place.front.connections) == 1
+    await until(lambda: not place.front.partings)  # within their bound, though nobody closed
+
+
+def test_a_request_in_the_kernel_as_the_process_ends(tmp_path: Path) -> None:
+    """It comes after the last look at the connections, and before the end of the process."""
+    async def play() -> None:
+        async with Rig(tmp_path, main=LATE.replace("FOLDER", str(tmp_path)), drain_grace=0, stop_ms=900) as rig:
+            balancer = await rig.balancer()
+            await soon(balancer.health())
+            rig.process.send_signal(signal.SIGTERM)
+            await soon(balancer.shutdown.wait())
+            await until(lambda: LATE_MARK in rig.log())
+            answer = balancer.ask("look", fields())
+            await balancer.writer.drain()
+            (tmp_path / "go").touch()
+            error, _ = await soon(answer)
+            assert error[0] == "Backoff"
+            await soon(balancer.ended.wait())
+            assert await soon(rig.process.wait()) == 0
+    asyncio.run(play())
+
+
+LATE_MARK = "event=test-late"
+# The program, held between its last look at the connections and its end until the test says go on.
+LATE = f'''-c "
+import sys, time, os
+from burlloom.server import __main__, assembly
+class Late(assembly.Server):
+    async def drain(self, now, stop):
+        clock = self.clock
+        class Held:
+            last = property(lambda self: clock.last)
+            def __call__(self):
+                at = clock()
+                if at >= stop and not os.path.exists('FOLDER/go'):
+                    print('{LATE_MARK}', flush=True)
+                    while not os.path.exists('FOLDER/go'):
+                        time.sleep(0.002)
+                    time.sleep(0.02)
+                return at
+        self.clock = Held()
+        await super().drain(now, stop)
+__main__.Server = Late
+sys.exit(__main__.main())
+"'''
+
+
+def signalled(when: str) -> str:
+    return f'-c "import os, signal, sys, uvloop; import burlloom.server.__main__ as m; run = uvloop.run; {when}; sys.exit(m.main())"'
+
+
+@pytest.mark.parametrize("number", ["SIGTERM", "SIGINT"])
+def test_a_notice_to_leave_while_the_program_starts(number: str, tmp_path: Path) -> None:
+    """It waits for its handler: the program ends by itself, with status 0."""
+    async def play() -> None:
+        env = {**os.environ, "EDGE_CONFIG": str(Path(__file__).parent.parent / "examples" / "configuration.json"),
+               "EDGE_LISTEN": "127.0.0.1:0"}
+        process = await asyncio.create_subprocess_shell(
+            f"exec {sys.executable} " + signalled(f"os.kill(os.getpid(), signal.{number})"), env=env,
+            cwd=Path(__file__).parent.parent, stdout=asyncio.subprocess.PIPE)
+        out, _ = await soon(process.communicate())
+        assert process.returncode == 0 and b"event=leaving" in out and b"event=stopped" in out, (process.returncode, out)
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("number", ["SIGTERM", "SIGINT", "SIGHUP"])
+def test_a_second_notice_as_the_program_ends(number: str, tmp_path: Path) -> None:
+    """It comes when the loop has closed and the process is not yet gone."""
+    async def play() -> None:
+        main = signalled(f"uvloop.run = lambda work: (run(work), os.kill(os.getpid(), signal.{number}))")
+        async with Rig(tmp_path, main=main) as rig:
+            rig.process.send_signal(signal.SIGTERM)
+            assert await soon(rig.process.wait()) == 0
+    asyncio.run(play())
+
+
+@played(drain_grace=300000)
+async def test_the_grace_counts_from_the_notice_not_from_its_hearing(rig: Rig) -> None:
+    """The process stood still as the notice came: what arrives past the grace is not run, however late it hears."""
+    balancer = await rig.balancer()
+    await soon(balancer.health())
+    rig.process.send_signal(signal.SIGSTOP)
+    sent = time.time_ns()
+    rig.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.6)
+    answer = balancer.ask("look", fields(at=str((sent + 400 * MS) // MS)))
+    await balancer.writer.drain()
+    rig.process.send_signal(signal.SIGCONT)
+    error, _ = await soon(answer)
+    assert error[0] == "Backoff" and rig.executor.commands.empty()
+    balancer.close()
+
+
+@on_loop
+async def test_a_reply_comes_in_the_turn_in_which_the_call_runs_out_of_time() -> None:
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        call = loop.create_task(Pool(listener.getsockname()).call("0" * 16, b"which", 200 * MS, False))
+        listener.setblocking(False)
+        sock, _ = await loop.sock_accept(listener)
+        while b"which" not in await loop.sock_recv(sock, 4096):
+            pass
+        sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nthis")
+        time.sleep(0.25)  # the loop sees both at once: the reply, and that the time is up
+        assert await soon(call) == (Answer.WELL, b"this")
+        sock.close()
+
+
+@on_loop
+async def test_what_a_slow_dial_took_is_not_told_as_patience() -> None:
+    """The backlog is full, so that the kernel dials again after a second."""
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+        first = socket.create_connection(listener.getsockname())
+        second = socket.socket()
+        second.setblocking(False)
+        second.connect_ex(listener.getsockname())
+        call = loop.create_task(Pool(listener.getsockname()).call("0" * 16, b"which", 5 * SECOND, False))
+        await asyncio.sleep(0.3)  # the first dial is lost by now
+        first.close()
+        second.close()
+        listener.setblocking(False)
+        told = b""
+        while b"which" not in told:
+            sock, _ = await soon(loop.sock_accept(listener))
+            told = await loop.sock_recv(sock, 4096)
+        patience = int(told.split(b"X-Patience: ")[1].split(b"\r\n")[0])
+        assert patience < 4300, told
+        sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nthis")
+        assert await soon(call) == (Answer.WELL, b"this")
+
+
+@on_loop
+async def test_a_silent_link_is_reset_in_the_turn_in_which_it_is_given_up() -> None:
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        link = Link(listener.getsockname(), Tasks(), lambda empty, age: None, lambda *ended: None, lambda *at: None)
+        keeping = loop.create_task(link.keep())
+        listener.setblocking(False)
+        sock, _ = await loop.sock_accept(listener)
+        await until(lambda: link.writer is not None)
+        link.silent = 1000
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+        assert await link.gauges(0) is None
+        sock, _ = await soon(loop.sock_accept(listener))  # and a new link is made
+        sock.close()
+        keeping.cancel()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -70,7 +70,7 @@
         gauges = Gauges(core_use=1.0, links=0.0)
         choice.woke(now, 0, replace(gauges, **{name: float(value) for name, value in told.items()}))
     elif event == "leave":
-        choice.leaving(now, int(rest[0]) * MS)
+        choice.leaving(now, now, int(rest[0]) * MS)
     else:
         ref = names.index(rest[0]) if rest[0] in names else len(names) + 7
         if event in ("done", "called"):
