Configuration: all faults at once, each with its place; no warm-up time is warm at once

At fault: configuration.py, which decoded without a look at the values, and told one fault at a time by the name of a key.

Now `server/checked.py` holds a table of each place that is read, with its bounds; start and SIGHUP read it; one line names all faults. An empty `warm_up` means what it says: warm at once. Relations are checked last: `catalog` where calls go below, a budget of calls of 0 where classes call what all share, names twice.

--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -316,7 +316,8 @@
 
     def warmth(self) -> float:
         facts, age = self.facts, self.now - self.born
-        return min(1.0, facts.cold_from + (1 - facts.cold_from) * age / facts.warm_up) if facts.cold else 1.0
+        warm = not facts.cold or age >= facts.warm_up
+        return 1.0 if warm else facts.cold_from + (1 - facts.cold_from) * age / facts.warm_up
 
     def ceiling(self) -> int:
         """Counts all that has started, as if all calls and disks came back together."""
--- a/burlloom/server/configuration.py
+++ b/burlloom/server/configuration.py
@@ -8,6 +8,7 @@
 from ..facts import facts
 from ..interface import ServerFacts
 from ..sockets import MS
+from .checked import faults
 
 Address = tuple[str, int]
 SOCKETS, MEMORY_MB = 1024, 192  # where no limit is told
@@ -48,16 +49,17 @@
     try:
         with open(path, encoding="utf-8") as source:
             got: dict[str, Any] = json.load(source)
+        elsewhere = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN"}
+        if lines := faults(got, frozenset(name for name, told in elsewhere.items() if os.environ.get(told))):
+            raise Broken(f"{path}: " + "; ".join(lines))
         known, meters = facts(got["settings"])
-        if not known.products or known.cores < 1 or known.memory_kb <= 0 or int(got["stop_ms"]) < 0:
-            raise ValueError("settings without products, cores, memory or time to stop")
-        limits, below = got.get("limits") or {}, got["settings"]["extra"].get("depends_on", "off")
+        limits = got.get("limits") or {}
         return Orders(
             name=os.environ.get("EDGE_NAME") or str(got["name"]),
             listen=address(os.environ.get("EDGE_LISTEN") or got["listen"]),
             executor=address(got["executor"]),
             naming=address(got["naming"]),
-            catalogue=address(got["catalog"]) if "catalog" in got or below != "off" else None,
+            catalogue=address(got["catalog"]) if got.get("catalog") else None,
             seed=int(got["seed"], 16),
             stop=int(got["stop_ms"]) * MS,
             sockets=int(limits.get("sockets", SOCKETS)),
@@ -70,7 +72,5 @@
         )
     except OSError as error:
         raise Broken(f"{path}: {error.strerror}") from error
-    except KeyError as error:
-        raise Broken(f"{path}: {error} is missing") from error
-    except (ValueError, TypeError, AttributeError, RecursionError) as error:
+    except (ValueError, RecursionError) as error:
         raise Broken(f"{path}: {error}") from error
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -701,6 +701,76 @@
           broken(stop_ms="soon"), broken(catalog=None), json.dumps({key: GIVEN[key] for key in GIVEN if key != "catalog"})]
 
 
+def changed(path: str, value: Any) -> str:
+    """The example with one value changed, or left out where it is `None`."""
+    told = json.loads(json.dumps(GIVEN))
+    place, *names = told, *path.split(".")
+    for name in names[:-1]:
+        place = place[int(name) if name.isdigit() else name]
+    place[names[-1]] = value
+    if value is None:
+        del place[names[-1]]
+    return json.dumps(told)
+
+
+# What is wrong, and the place that the line has to name.
+ABSURD = [("settings.rules.warm_up", None), ("settings.rules.warm_up", -1), ("settings.rules.warm_up", 1e300),
+          ("settings.rules.cold_from", 1.5), ("settings.rules.drain_grace", "soon"), ("settings.extra.calls_out", -0.5),
+          ("settings.extra.calls_out", float("inf")), ("settings.extra.calls_over", float("nan")),
+          ("settings.extra.say", "aloud"), ("settings.extra.n_cores", 0), ("settings.categories.0.aim", 0),
+          ("settings.categories.1.deadline", None), ("settings.categories.1.idempotency", "perhaps"),
+          ("settings.categories.0.name", "pay"), ("limits.sockets", 8), ("limits.sockets", 100.5),
+          ("limits.memory_mb", float("inf")), ("naming", "127.0.0.1:70000"), ("seed", "0x")]
+
+
+@pytest.mark.parametrize("path, value", ABSURD, ids=[f"{path}={value}" for path, value in ABSURD])
+def test_absurd_settings_end_the_start_with_their_place(path: str, value: Any, tmp_path: Path) -> None:
+    known = path.replace(".0.", "[0].").replace(".1.", "[1].")
+    if path == "settings.categories.0.name":
+        known = "settings.categories"
+    assert f"{known}: " in refused(changed(path, value), tmp_path)
+
+
+def test_all_faults_of_a_configuration_are_told_at_once(tmp_path: Path) -> None:
+    told = json.loads(json.dumps(GIVEN))
+    told["seed"], told["limits"]["sockets"], told["settings"]["tenants"] = "q", 3, [{"portion": "all"}, 7]
+    del told["settings"]["rules"]
+    line = refused(json.dumps(told), tmp_path)
+    for place in ("seed", "limits.sockets", "settings.rules", "settings.tenants[0].name", "settings.tenants[0].portion",
+                  "settings.tenants[1]"):
+        assert f" {place}: " in line, line
+    assert line.count(";") == 5
+
+
+def refused(text: str, tmp_path: Path) -> str:
+    """Ends the start at once, with one line and status 2, before anything listens."""
+    path = tmp_path / "configuration.json"
+    path.write_text(text)
+    done = subprocess.run([sys.executable, "-m", "burlloom.server"], cwd=ROOT, capture_output=True, text=True,
+                          timeout=20, env={"EDGE_CONFIG": str(path), "EDGE_LISTEN": "127.0.0.1:0", "PATH": ""})
+    assert (done.returncode, done.stdout, done.stderr.count("\n")) == (2, "", 1), done
+    return done.stderr
+
+
+@played()
+async def test_an_unusable_configuration_at_a_reload_changes_nothing(rig: Rig) -> None:
+    for count, (path, value) in enumerate(ABSURD, 1):
+        (rig.folder / "configuration.json").write_text(changed(path, value))
+        rig.process.send_signal(signal.SIGHUP)
+        await until(lambda: rig.log().count("event=reload-failed") == count)
+    await gets_one(rig, await rig.balancer())
+
+
+@played(warm_up=0, cold_from=0.2)
+async def test_a_warm_up_of_no_time_is_over_at_once(rig: Rig) -> None:
+    """Nothing divides by it, and a server that starts cold so serves."""
+    rig.executor.restart()
+    await rig.kill()
+    await rig.begin()
+    await gets_one(rig, await rig.balancer())
+    assert "event=welcome cold=True" in rig.log()
+
+
 @pytest.mark.parametrize("text", BROKEN, ids=range(len(BROKEN)))
 def test_broken_configuration(text: str | None, tmp_path: Path) -> None:
     path = tmp_path / "configuration.json"
