Calls below: a small share is dealt over time from a life's first moment, and none is too small

Checked and ruled out: shares of a call and more (never over N, before and after), pauses (the metered span forgets what was not used).

At fault: choice.py `in_hand`, empty at birth, whose ring looked at nine to ten tenths of the span, and the test in `may_call`. Now a share under one call is metered over a span in which it comes to eight times the linger, looked at whole; a life begins as if its share were used up but for a part by chance, with its own phase, so that first calls are spread over the time in which the share grows to one call. A call that runs out of time doubles what the next waits for.

--- a/burlloom/choice.py
+++ b/burlloom/choice.py
@@ -33,6 +33,7 @@
 GAP = 3 * ROUND  # no event for this long: the process stood still
 REST = 0.5  # of its SLA time that a held txn is given back with, to be tried elsewhere
 BREAK_AFTER, TRIAL = 5, 500 * MS  # calls failed in a row until calling stops; between its single trials
+CALL_ROOM = 8  # a share under one call is metered over a span in which it comes to this many times the linger
 CALLS_MIN, CROWDED, CREEP, REBASE = 5, 3.0, 1.005, 1.1  # to judge by; too long; the base's creep, or leap
 ENDS, ENDS_FOR = 16, 5000 * MS  # of a product, that tell what runs take: few, as slow calls are soon past
 NEWEST, QUICKER = 4, 0.7  # of those, the last ones; where they take so much less, they alone tell
@@ -151,7 +152,7 @@
         self.door: OrderedDict[int, Case] = OrderedDict()
         self.spent: list[Case] = []
         self.kb = self.held_kb = self.call_base = self.call_press = 0.0
-        self.keys = self.overwritten = self.exceeded = 0
+        self.keys = self.overwritten = self.exceeded = self.call_need = 0
         self.slept, self.moved = 0, now
         self.stop, self.last_arrival = NEVER, NEVER
         self.good, self.idle, self.press, self.told = True, facts.idle, 1 - self.warmth(), -1.0
@@ -160,7 +161,7 @@
         self.call_most = facts.calls_share or facts.crowd * facts.cores
         self.call_limit = max(min(1.0, self.call_most), self.call_most / 2)
         self.call_times, self.calls = Ring(1000 * MS), Ring(1000 * MS)
-        self.in_hand = Ring(max(facts.calls_span, 10))
+        self.meter_calls()
         self.took = [deque[tuple[int, int, int]](maxlen=ENDS) for _ in facts.products]
         self.ends, self.bad_ends = Ring(2000 * MS), Ring(2000 * MS)
         self.read, self.turned, self.unread = Ring(1000 * MS), Ring(1000 * MS), Ring(1000 * MS)
@@ -208,6 +209,9 @@
             self.broken = 0 if outcome is Outcome.OK else self.broken + 1
             self.trial_at = now + TRIAL
             self.timeouts += outcome is Outcome.TIMED_OUT
+            need = self.facts.linger + 2 * took if outcome is Outcome.OK else 2 * self.call_need
+            if outcome in (Outcome.OK, Outcome.TIMED_OUT):
+                self.call_need = int(max(2 * self.facts.linger, min(need, self.call_quota() / 2)))
             # Below one call the limit is a share of time, by chance: not all servers in step.
             rest = 2 * took * self.chance() * (1 / min(1.0, self.call_limit) - 1)
             self.call_next = now + int(min(2 * TRIAL, rest))
@@ -235,6 +239,8 @@
         """Our share of the calls below from now on, above 0. Those in hand stay; none is added past it."""
         self.tick(now)
         self.facts, self.call_most = replace(self.facts, calls_share=share), share
+        if 0 < share < 1 and self.call_quota() < CALL_ROOM * self.facts.linger:
+            self.meter_calls()
         self.call_limit = min(max(min(1.0, share), self.call_limit), share)
         self.advance()
 
@@ -258,7 +264,7 @@
         if now - self.now > GAP:
             self.slept += now - self.now - ROUND
             self.moved += now - self.now - ROUND
-        self.in_hand.add(now, (now - self.now) * (self.count[State.CALL] + len(self.lingering)))
+        self.in_hand.add(now + self.phase, (now - self.now) * (self.count[State.CALL] + len(self.lingering)))
         self.now = now
 
     def meet(self, now: int, ref: int, what: Input) -> None:
@@ -437,7 +443,7 @@
         if self.broken >= BREAK_AFTER and (self.now < self.trial_at or self.count[State.CALL]):
             return False
         return self.calls_in_hand() < max(1, int(self.call_limit)) and (not 0 < self.facts.calls_share < 1
-            or self.now >= self.call_next and self.call_room() > 2 * self.facts.linger)
+            or self.now >= self.call_next and self.call_room() > self.call_need)
 
     def no_call(self, case: Case) -> bool:
         """Calling has stopped, or its queue has taken so long that even a poorer answer is at stake."""
@@ -445,9 +451,29 @@
         return (self.broken >= BREAK_AFTER or self.stale(case) and self.now > case.give_back
                 or bool(relief.name) and relief.skips[case.txn.product])
 
+    def meter_calls(self) -> None:
+        """Where our share is under one call it is a share of time, metered over a span in which calls fit.
+
+        A life begins as if its share were just used up, but for a part by chance: nobody spends a whole one at
+        a start, whatever the life before had spent, nor do all servers that start together call in step."""
+        facts, share = self.facts, self.facts.calls_share
+        self.call_span, self.call_need, self.phase = max(facts.calls_span, 10), 2 * facts.linger, 0
+        if 0 < share < 1:
+            self.call_span = max(self.call_span, int(CALL_ROOM * facts.linger / share))
+        self.in_hand = Ring(self.call_span * 11 // 10, 11)  # never less than the span is looked at
+        if 0 < share < 1:
+            width = self.in_hand.width
+            self.phase = int(width * (11 + self.chance()))  # a clock may begin at 0
+            used = (self.call_quota() - self.call_need * self.chance()) / 11
+            for bucket in range(11):
+                self.in_hand.add(self.now + self.phase - (10 - bucket) * width, used)
+
+    def call_quota(self) -> float:
+        return self.facts.calls_share * self.call_span
+
     def call_room(self) -> float:
-        """Where our share is under one call: what is left of it, as time of one call in hand."""
-        return self.facts.calls_share * self.facts.calls_span - self.in_hand.total(self.now)
+        """What is left of our share, as time of one call in hand."""
+        return self.call_quota() - self.in_hand.total(self.now + self.phase)
 
     def may_repeat(self, case: Case) -> bool:
         return not self.past(case) and (self.inquiry(case) or case.outcome in PROVES_UNRUN)
