Connections: bytes that lie unread are taken before an end is decided; they prolong nothing

Now the look takes what lies there (`last_call`, bounded), answers what is whole of it, and decides: silent and unfinished ones go 1.5 s after they connected, as before. A connection on which nothing was ever said by us has nothing that a reset could take: it is closed at once; other closes wait half a second.

Tests: a message that goes on in the turn of the look ends; one that is completed in it is answered.

--- a/burlloom/rpc/connection.py
+++ b/burlloom/rpc/connection.py
@@ -15,6 +15,7 @@
 
 READ_BYTES = 4 << 10
 OPEN_MOST = 32
+LAST_READS = 16
 UNSENT_MOST = 512 << 10  # one that waits for 32 answers can't be owed as much
 BAD_MOST = 4  # txns that can't be taken or that nobody knows, until the connection goes
 SHUTDOWN = frames.notification("shutdown")
@@ -100,10 +101,14 @@
             self.partial_since = self.partial_since or now
 
     def last_call(self) -> None:
-        """Takes what lies unread, where the loop will not come to it any more: each whole request is answered."""
+        """Takes what lies unread before an end is decided: a whole request that lies there is answered.
+
+        So many times at most: whoever sends without an end must not hold up everybody else.
+        """
         with self.ending():
-            while not self.ended and not self.half_closed and unread(self.sock):
-                self.came(self.sock.recv_into(self.buffer.room()))
+            for _ in range(LAST_READS):
+                if not self.ended and not self.half_closed and unread(self.sock):
+                    self.came(self.sock.recv_into(self.buffer.room()))
 
     def close(self, reason: Reason) -> None:
         """Every way out leads through here, once.
@@ -121,7 +126,7 @@
         self.inlet.rest()
         if self.reader is not None and self.reader is not asyncio.current_task():
             self.reader.cancel()
-        if reason in AT_ONCE or self.half_closed and not self.writer.unsent:
+        if reason in AT_ONCE or not self.writer.spoke or self.half_closed and not self.writer.unsent:
             self.writer.end()
             self.sock.close()
         else:
--- a/burlloom/rpc/front.py
+++ b/burlloom/rpc/front.py
@@ -149,14 +149,18 @@
         idle = min(self.idle, PINCHED_IDLE) if 4 * len(self.connections) > 3 * self.most else self.idle
         for one in list(self.connections):
             if one.partial_since and now - one.partial_since > PARTIAL_MOST:
-                if now - one.partial_since > 2 * PARTIAL_MOST or not unread(one.sock):
+                began = one.partial_since
+                one.last_call()
+                if one.partial_since == began:
                     one.stop(Reason.UNFINISHED)
             elif not one.bare:
                 continue
             elif not one.heard:
-                if now - one.used > SILENT_MOST and not unread(one.sock):
-                    # One that has begun to speak is not silent, though its first bytes came after it connected.
-                    one.stop(Reason.UNFINISHED if one.partial_since else Reason.SILENT)
+                if now - one.used > SILENT_MOST:
+                    one.last_call()
+                    if not one.heard:
+                        # One that has begun to speak is not silent, though its first bytes came after it connected.
+                        one.stop(Reason.UNFINISHED if one.partial_since else Reason.SILENT)
             elif one.told_shutdown:
                 late = now - max(one.told_at, one.used) > DEAF_MOST and not one.partial_since
                 if late and not unread(one.sock):
--- a/burlloom/sockets/parting.py
+++ b/burlloom/sockets/parting.py
@@ -7,7 +7,7 @@
 from .spans import MS, SECOND
 from .writer import Writer
 
-PART_MOST = 1000 * MS
+PART_MOST = 500 * MS
 SCRAP, SCRAP_MOST = 4 << 10, 256 << 10
 
 
--- a/burlloom/sockets/writer.py
+++ b/burlloom/sockets/writer.py
@@ -20,7 +20,7 @@
         self.size = 0  # of what was posted and is not known to have left
         self.task: asyncio.Task[None] | None = None
         self.loop = asyncio.get_running_loop()
-        self.ended = self.flushing = False
+        self.ended = self.flushing = self.spoke = False
 
     @property
     def unsent(self) -> bool:
@@ -28,6 +28,7 @@
 
     def post(self, *pieces: bytes) -> None:
         if not self.ended:
+            self.spoke = True
             self.posted += pieces
             self.size += sum(map(len, pieces))
             if not self.flushing and self.task is None:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -197,13 +197,44 @@
     assert await client.rest() == [] and client.there.ended
 
 
+@on_loop
+async def test_bytes_that_lie_unread_prolong_no_unfinished_message() -> None:
+    """A message that never ends goes on at each look: its time is over all the same, and 1.5 s after it connected."""
+    place = Place()
+    client = await place.client()
+    client.sock.sendall(ask(1, place.now)[:3])
+    await until(lambda: client.there.partial_since)
+    place.now += 1600 * MS
+    place.front.swept = place.now - 250 * MS
+    in_one_turn(lambda: client.sock.sendall(ask(1, place.now)[3:9]), place.front.sweep)
+    await turns()
+    assert client.there.ended and await client.rest() == []
+
+
+@on_loop
+async def test_the_rest_of_a_message_comes_as_its_time_is_over() -> None:
+    place = Place()
+    client = await place.client()
+    whole = ask(1, place.now)
+    client.sock.sendall(whole[:9])
+    await until(lambda: client.there.partial_since)
+    place.now += 1600 * MS
+    place.front.swept = place.now - 250 * MS
+    in_one_turn(lambda: client.sock.sendall(whole[9:]), place.front.sweep)
+    await turns()
+    assert [asked.number for asked in place.asked] == [1] and not place.lost
+    place.asked[0].settle(b"served")
+    client.sock.shutdown(socket.SHUT_WR)
+    assert await client.rest() == [[1, 1, None, [b"served", {}]]]
+
+
 @on_loop
 async def test_closes_under_way_count_as_connections() -> None:
     """Those who never close their half hold a descriptor: a newcomer takes the place of the oldest of them."""
     place = Place(most=3)
     clients = [await place.client() for _ in range(3)]
     for client in clients:
-        client.sock.sendall(b"\xc1")
+        client.sock.sendall(request(1, "health", {}) + b"\xc1")
     await until(lambda: len(place.front.partings) == 3)
     await place.client()
     await until(lambda: len(place.front.partings) == 2)
