--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -304,11 +304,18 @@
     asyncio.run(play())
 
 
+MOMENTS = {"the-loop-has-closed": "uvloop.run = lambda work: (run(work), os.kill(os.getpid(), signal.NUMBER))",
+           # Globals go after Python has put back the defaults of all signals that it handled.
+           "python-has-let-go-of-signals": "last = type('Last', (), {'__del__': lambda self, kill=os.kill, pid=os.getpid(), "
+                                           "number=signal.NUMBER: kill(pid, number)})()"}
+
+
 @pytest.mark.parametrize("number", ["SIGTERM", "SIGINT", "SIGHUP"])
-def test_a_second_notice_as_the_program_ends(number: str, tmp_path: Path) -> None:
-    """It comes when the loop has closed and the process is not yet gone."""
+@pytest.mark.parametrize("moment", MOMENTS)
+def test_a_second_notice_as_the_program_ends(moment: str, number: str, tmp_path: Path) -> None:
+    """The process is over but for its end, and still ends with status 0."""
     async def play() -> None:
-        main = signalled(f"uvloop.run = lambda work: (run(work), os.kill(os.getpid(), signal.{number}))")
+        main = signalled(MOMENTS[moment].replace("NUMBER", number))
         async with Rig(tmp_path, main=main) as rig:
             rig.process.send_signal(signal.SIGTERM)
             assert await soon(rig.process.wait()) == 0
