Repeats, dials and descriptors at rare moments: more tests; room for as many calls as may be in hand

- A repeat that lies in the kernel beside the first's end; a window that is over before its run is: both held already.
- A dial that nobody answers is made again; a move in the middle of a dial (held already).
- assembly.py `room()`: where a crowd of calls may be in hand (48 on six cores at 8 a core) and the table was full, calls and kept connections came to more than the 64 descriptors left.
So many calls as may be in hand now have theirs.

--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import socket
 import time
 from collections.abc import Callable
@@ -11,7 +12,7 @@
 from ..desk import AtCall, CallEnded, Desk, Kind, Leaving, Recalled, RunEnded, Seat, Step, Try
 from ..executor import End, Link
 from ..facts import gauges
-from ..interface import Gauges, Outcome, Repeatable
+from ..interface import Gauges, Outcome, Repeatable, ServerFacts
 from ..naming import Reports
 from ..rpc import Asked, Front, Known
 from ..sockets import MS, Tasks, out_of_descriptors, rest
@@ -28,7 +29,8 @@
 GAUGES_WAIT = 30 * MS  # gauges later than this are of another moment
 UNWANTED_WAIT = 250 * MS
 RESULTS_SHARE = 8  # one part in this many of our own memory, for results that repeats may ask for
-RESERVE = 64  # descriptors for the link, calls, reports and what the process itself holds
+RESERVE = 64  # descriptors, at least, for the link, calls, reports and what the process itself holds
+OWN = 32  # of them without the calls on their way: what the process holds, and connections kept for calls
 LAST_WRITES = 250 * MS  # before the kill: what the last answers and this process need to get out
 RUN_OUTCOME = {End.PASS: Outcome.OK, End.FAIL: Outcome.FAILED, End.KILLED: Outcome.STOPPED,
                End.NOOP: Outcome.MOOT, End.BAD: Outcome.MOOT}
@@ -48,9 +50,10 @@
         return self.last
 
 
-def room(sockets: int) -> int:
-    """How many connections of balancers there may be."""
-    return max(sockets - RESERVE, sockets // 2)
+def room(sockets: int, facts: ServerFacts) -> int:
+    """How many connections of balancers there may be: so many calls as may be in hand find a descriptor besides."""
+    calls = facts.calls_share or facts.crowd * facts.cores
+    return max(sockets - max(RESERVE, OWN + math.ceil(calls)), sockets // 2)
 
 
 def answer(asked: Asked, step: Step) -> None:
@@ -85,7 +88,7 @@
         self.over = asyncio.Event()
         self.address = listener.getsockname()
         known = Known(referenced, orders.tenants, max(product.expiry for product in orders.facts.products))
-        self.front = Front(listener, known, room(orders.sockets), self.tasks, self.clock, self.asked,
+        self.front = Front(listener, known, room(orders.sockets, orders.facts), self.tasks, self.clock, self.asked,
                            self.lost, self.serves, self.good, self.said)
         spare = self.front.make_room
         self.link = Link(orders.executor, self.tasks, self.welcome, self.run_ended, self.at_call, spare)
@@ -125,7 +128,7 @@
         self.link.move(orders.executor)
         self.pool.move(orders.catalogue)
         self.reports.move(orders.naming)
-        self.front.most = room(orders.sockets)
+        self.front.most = room(orders.sockets, orders.facts)
         log.info("event=reloaded executor=%s:%d catalogue=%s naming=%s:%d",
                  *orders.executor, "%s:%d" % orders.catalogue if orders.catalogue is not None else "none",
                  *orders.naming)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -305,9 +305,10 @@
 
 
 MOMENTS = {"the-loop-has-closed": "uvloop.run = lambda work: (run(work), os.kill(os.getpid(), signal.NUMBER))",
-           # Globals go after Python has put back the defaults of all signals that it handled.
-           "python-has-let-go-of-signals": "last = type('Last', (), {'__del__': lambda self, kill=os.kill, pid=os.getpid(), "
-                                           "number=signal.NUMBER: kill(pid, number)})()"}
+           # Python looks for its last garbage after it has put back the defaults of all signals that it handled.
+           "python-has-let-go-of-signals": "Last = type('Last', (), {'__del__': lambda self, kill=os.kill, pid=os.getpid(), "
+                                           "number=signal.NUMBER: kill(pid, number)}); uvloop.run = lambda work: "
+                                           "(run(work), (lambda last: setattr(last, 'itself', last))(Last()))"}
 
 
 @pytest.mark.parametrize("number", ["SIGTERM", "SIGINT", "SIGHUP"])
@@ -394,3 +395,95 @@
         sock, _ = await soon(loop.sock_accept(listener))  # and a new link is made
         sock.close()
         keeping.cancel()
+
+
+def unanswered() -> tuple[socket.socket, list[socket.socket]]:
+    """A listener whose backlog is full: nobody answers a dial there."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    dials = [socket.socket() for _ in range(2)]
+    for dial in dials:
+        dial.setblocking(False)
+        dial.connect_ex(listener.getsockname())
+    return listener, dials
+
+
+def linked(address: tuple[str, int]) -> Link:
+    return Link(address, Tasks(), lambda empty, age: None, lambda *ended: None, lambda *at: None)
+
+
+@on_loop
+async def test_a_dial_that_nobody_answers_is_made_again() -> None:
+    """The system's next tries would come 1, 3, 7 and 15 s after the first: the link is found sooner."""
+    loop = asyncio.get_running_loop()
+    listener, dials = unanswered()
+    link = linked(listener.getsockname())
+    keeping = loop.create_task(link.keep())
+    await asyncio.sleep(1.5)  # the first dial and the system's own second are lost
+    for dial in dials:
+        dial.close()
+    listener.setblocking(False)
+    until_, joined = time.monotonic() + 1.4, False
+    while not joined:
+        async with asyncio.timeout(until_ - time.monotonic()):
+            sock, _ = await loop.sock_accept(listener)
+            joined = await loop.sock_recv(sock, 64) == b"JOIN 0\r\n"
+    keeping.cancel()
+    listener.close()
+
+
+@on_loop
+async def test_a_move_in_the_middle_of_a_dial() -> None:
+    loop = asyncio.get_running_loop()
+    listener, dials = unanswered()
+    link = linked(listener.getsockname())
+    keeping = loop.create_task(link.keep())
+    await until(lambda: link.trying is not None)
+    await turns()
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        link.move(other.getsockname())
+        other.setblocking(False)
+        sock, _ = await soon(loop.sock_accept(other))
+        assert await soon(loop.sock_recv(sock, 64)) == b"JOIN 0\r\n"
+        keeping.cancel()
+        sock.close()
+    for dial in (*dials, listener):
+        dial.close()
+
+
+@played(n_cores=4, window=60_000_000)
+async def test_a_repeat_comes_as_the_first_ends(rig: Rig) -> None:
+    """Both lie in the kernel as the process goes on, on two connections; whichever is taken first, it runs once."""
+    first, second = await rig.balancer(), await rig.balancer()
+    for count in range(10):
+        key, at = f"k{count}", str(time.time_ns() // MS)
+        answer = first.ask("pay", fields(once=key, at=at))
+        id = await rig.command("EXEC", "pay")
+        rig.process.send_signal(signal.SIGSTOP)
+        repeat = second.ask("pay", fields(once=key, at=at, retry="1"))
+        rig.executor.exit(id, result=key.encode())
+        await asyncio.sleep(0)
+        await second.writer.drain()
+        rig.process.send_signal(signal.SIGCONT)
+        await gets(answer, key.encode())
+        await gets(repeat, key.encode())
+        assert rig.executor.commands.empty()
+
+
+@played(n_cores=4, window=300_000)
+async def test_a_window_that_is_over_before_the_run_is(rig: Rig) -> None:
+    """Short windows: what was written within one is never run again, however late it is read; what came after may be."""
+    balancer, other = await rig.balancer(), await rig.balancer()
+    at = time.time_ns() // MS
+    answer = balancer.ask("pay", fields(once="k", at=str(at)))
+    id = await rig.command("EXEC", "pay")
+    await asyncio.sleep(0.5)  # the window is over, the run is not
+    inside = other.ask("pay", fields(once="k", at=str(at + 299), retry="1"))
+    await soon(other.health())
+    assert rig.executor.commands.empty() and not inside.done()
+    rig.executor.exit(id, result=b"paid")
+    await gets(answer, b"paid")
+    await gets(inside, b"paid")
+    await gets(other.ask("pay", fields(once="k", at=str(at + 300), retry="1")), b"paid")  # read late, once it had ended
+    after = other.ask("pay", fields(once="k"))
+    rig.executor.exit(await rig.command("EXEC", "pay"), result=b"paid anew")
+    await gets(after, b"paid anew")
