Benchmark of cold starts: all processes have ended before any is signalled again

Popen.poll(), which asyncio's send_signal calls, reaps a child that has just ended, and the status is lost ("Unknown child process").

--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -135,6 +135,8 @@
         rig.process.terminate()
         for balancer in rig.balancers:
             balancer.close()
+    # Here, not by each rig's end: asyncio loses the status of a child that is signalled as it ends.
+    await soon(asyncio.gather(*(rig.process.wait() for rig in rigs)))
 
 
 async def start(rig: Rig) -> float:
