Closes under way hold no more unsent bytes than connections may

Found by reading the change again: an orderly close keeps what is owed for up to half a second; clients that never read (400 KB each) and then send what ends them all could together hold more than the 8 MiB that connections may. Past that a close is made at once. Test: forty such clients, never over 8 MiB.

--- a/burlloom/rpc/front.py
+++ b/burlloom/rpc/front.py
@@ -51,6 +51,9 @@
         self.silent.pop(connection, None)
 
     def parting(self, parting: Parting) -> None:
+        if parting.writer.size + sum(other.writer.size for other in self.partings) > UNSENT_IN_ALL:
+            parting.over()  # against those who never read and are owed much: closes under way would fill the memory
+            return
         task = self.partings[parting] = self.tasks.start(parting.run(), "parting")
         task.add_done_callback(lambda _: self.partings.pop(parting, None) and None)
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -19,7 +19,7 @@
 from burlloom.catalogue import Answer, Pool
 from burlloom.executor import Link
 from burlloom.rpc import Front, Known, Request
-from burlloom.sockets import MS, SECOND, Tasks
+from burlloom.sockets import MS, SECOND, Reason, Tasks
 from burlloom.standins.parts import fields
 
 KNOWN = Known({"look": False}, (), 6 * SECOND)
@@ -323,6 +323,27 @@
     asyncio.run(play())
 
 
+@on_loop
+async def test_closes_under_way_hold_no_more_than_connections_may() -> None:
+    """Clients that never read, each owed 400 KB, send what ends them all in one moment."""
+    place = Place(most=64)
+    clients = [await place.client() for _ in range(40)]
+    for client in clients:
+        client.there.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.sock.sendall(ask(1, place.now))
+    await until(lambda: len(place.asked) == 40)
+    for asked in place.asked:
+        asked.settle(b"x" * 400_000)
+    await turns()
+    most = 0
+    for client in clients:
+        client.there.stop(Reason.UNREADABLE)
+        most = max(most, sum(parting.writer.size for parting in place.front.partings))
+    assert 4 << 20 < most <= 8 << 20 and not place.front.connections
+    await until(lambda: not place.front.partings)
+
+
 @played(drain_grace=300000)
 async def test_the_grace_counts_from_the_notice_not_from_its_hearing(rig: Rig) -> None:
     """The process stood still as the notice came: what arrives past the grace is not run, however late it hears."""
