--- a/burlloom/desk/desk.py
+++ b/burlloom/desk/desk.py
@@ -223,7 +223,7 @@
         self.choice.arrived(now, Txn(
             ref=ref, caller=caller[0], product=txn.product,
             cost=txn.cost, unread=max(0, now - txn.at), expiry_at=0, kb=txn.kb, rank=txn.rank,
-            repeat_of=self.ledger.holder(mark, txn.at) if mark and self.counts(mark, txn, now) else -1,
+            repeat_of=self.ledger.holder(mark, txn.at, seat.inquiry) if mark and self.counts(mark, txn, now) else -1,
             entry=txn.entry, retry=txn.retry, over=txn.over and self.by_share or txn.held_back, lot=txn.lot))
         return seat
 
--- a/burlloom/desk/ledger.py
+++ b/burlloom/desk/ledger.py
@@ -5,6 +5,7 @@
 
 from .marks import MARK_BYTES, Packed, Wheel
 
+MS = 1_000_000
 FORMER = -2  # whoever holds a mark that this life was never given
 
 
@@ -42,12 +43,17 @@
         self.wheel = Wheel()
         self.bytes = 0
 
-    def holder(self, mark: bytes, at: int) -> int:
-        """The try whose repeat one of this arrival is, or -1."""
+    def holder(self, mark: bytes, at: int, shared: bool = False) -> int:
+        """The try whose repeat one of this arrival is, or -1.
+
+        In doubt a keyed one counts as a repeat, so that it runs once; a read that would share (`shared`) an answer does
+        not, so that it gets none that is too old. Arrivals are told in whole milliseconds, cut off.
+        """
         record = self.records.get(mark)
         if record is None and (until := self.ended_before(mark)) and at <= until + self.slack:
             return FORMER
-        return record.ref if record is not None and at <= record.until + self.slack else -1
+        slack = -MS if shared else self.slack
+        return record.ref if record is not None and at <= record.until + slack else -1
 
     def ended_before(self, mark: bytes) -> int:
         """When the window of what a former life ended is over; 0 where there is none of this mark."""
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -509,3 +509,19 @@
     after = other.ask("pay", fields(once="k"))
     rig.executor.exit(await rig.command("EXEC", "pay"), result=b"paid anew")
     await gets(after, b"paid anew")
+
+
+@played(n_cores=4, fresh_for=400_000)
+async def test_a_read_shares_no_answer_that_is_too_old(rig: Rig) -> None:
+    """The last moments of the time in which answers may be shared: within it, and some milliseconds past it."""
+    balancer = await rig.balancer()
+    for count in range(5):
+        key = f"k{count}"
+        answer = balancer.ask("look", fields(key=key))
+        rig.executor.exit(await rig.command("EXEC", "look"), result=b"first")
+        await gets(answer, b"first")
+        ended = time.time_ns() // MS
+        await gets(balancer.ask("look", fields(key=key, at=str(ended + 350))), b"first")
+        late = balancer.ask("look", fields(key=key, at=str(ended + 401 + 10 * count)))
+        rig.executor.exit(await rig.command("EXEC", "look"), result=b"second")
+        await gets(late, b"second")
