--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -94,6 +94,14 @@
     asyncio.get_running_loop().call_soon(then)
 
 
+async def is_served(place: Place, client: Client) -> None:
+    """Its one request was taken, and its answer comes, with an end in good order."""
+    assert [asked.number for asked in place.asked] == [1] and not place.lost
+    place.asked[0].settle(b"served")
+    client.sock.shutdown(socket.SHUT_WR)
+    assert await client.rest() == [[1, 1, None, [b"served", {}]]]
+
+
 @on_loop
 async def test_a_request_comes_as_its_deaf_connection_is_closed() -> None:
     place = Place()
@@ -116,10 +124,7 @@
     place.front.swept = place.now - 250 * MS
     in_one_turn(lambda: client.sock.sendall(ask(1, place.now)), place.front.sweep)
     await turns()
-    assert [asked.number for asked in place.asked] == [1] and not place.lost
-    place.asked[0].settle(b"served")
-    client.sock.shutdown(socket.SHUT_WR)
-    assert await client.rest() == [[1, 1, None, [b"served", {}]]]
+    await is_served(place, client)
 
 
 @on_loop
@@ -131,10 +136,7 @@
         accepted = other.accept()
         in_one_turn(lambda: client.sock.sendall(ask(1, place.now)), lambda: place.front.met(*accepted))
         await turns()
-    assert [asked.number for asked in place.asked] == [1] and not place.lost
-    place.asked[0].settle(b"served")
-    client.sock.shutdown(socket.SHUT_WR)
-    assert await client.rest() == [[1, 1, None, [b"served", {}]]]
+    await is_served(place, client)
     newcomer.close()
 
 
@@ -222,10 +224,7 @@
     place.front.swept = place.now - 250 * MS
     in_one_turn(lambda: client.sock.sendall(whole[9:]), place.front.sweep)
     await turns()
-    assert [asked.number for asked in place.asked] == [1] and not place.lost
-    place.asked[0].settle(b"served")
-    client.sock.shutdown(socket.SHUT_WR)
-    assert await client.rest() == [[1, 1, None, [b"served", {}]]]
+    await is_served(place, client)
 
 
 @on_loop
