--- a/burlloom/catalogue/pool.py
+++ b/burlloom/catalogue/pool.py
@@ -4,11 +4,12 @@
 import logging
 import socket
 import time
+from collections.abc import Callable
 from enum import Enum
 
 import httptools
 
-from ..sockets import MS, SECOND, Ended, Reason, stream
+from ..sockets import MS, SECOND, Ended, Inlet, Reason, stream
 
 log = logging.getLogger(__name__)
 
@@ -99,11 +100,13 @@
 
 
 class Pool:
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(self, address: tuple[str, int] | None, spare: Callable[[], bool] = lambda: False) -> None:
+        """`None`: this server was told of no catalogue, and reaches none. `spare` frees a descriptor elsewhere."""
         self.aim(address)
+        self.spare = spare
         self.kept: list[tuple[socket.socket, int]] = []
 
-    def move(self, address: tuple[str, int]) -> None:
+    def move(self, address: tuple[str, int] | None) -> None:
         """New calls go to this address; those on their way may finish where they are."""
         if address != self.address:
             self.aim(address)
@@ -115,8 +118,8 @@
             self.end(sock, Reason.MOVED, "")
         self.kept.clear()
 
-    def aim(self, address: tuple[str, int]) -> None:
-        self.address, self.host = address, f"{address[0]}:{address[1]}"
+    def aim(self, address: tuple[str, int] | None) -> None:
+        self.address, self.host = address, f"{address[0]}:{address[1]}" if address is not None else ""
 
     async def call(self, id: str, body: bytes, patience: int, kept: bool) -> tuple[Answer, bytes]:
         """One call; given up when `patience` is over, or the task is cancelled.
@@ -126,15 +129,19 @@
         """
         sock: socket.socket | None = None
         address = self.address
+        if address is None:
+            return Answer.UNREACHED, b""
         reply, wrote, keep, reason, detail = Reply(), False, False, Reason.GIVEN_UP, ""
+        until = time.monotonic_ns() + patience
         try:
             async with asyncio.timeout(max(0, patience) / SECOND):
                 loop = asyncio.get_running_loop()
-                sock, new = self.take() if kept else (stream(), True)
+                sock, new = self.take() if kept else (stream(self.free), True)
                 if new:
                     await loop.sock_connect(sock, address)
                 wrote = True
-                await loop.sock_sendall(sock, self.text(id, body, patience))
+                # What the dial took is no longer ours to wait: the other side would work on for nobody.
+                await loop.sock_sendall(sock, self.text(id, body, until - time.monotonic_ns()))
                 await self.read(sock, reply)
             keep = reply.keep
             reason = Reason.NOT_KEPT
@@ -168,9 +175,9 @@
         return head.encode() + body
 
     async def read(self, sock: socket.socket, reply: Reply) -> None:
-        loop, room = asyncio.get_running_loop(), memoryview(bytearray(READ_BYTES))
+        inlet, room = Inlet(sock), memoryview(bytearray(READ_BYTES))
         while not reply.over:
-            size = await loop.sock_recv_into(sock, room)
+            size = await inlet.receive(room)
             if not size:
                 raise Ended(Reason.PEER_CLOSED, "before the reply was whole")
             reply.feed(room[:size])
@@ -182,7 +189,14 @@
             if time.monotonic_ns() - since < KEPT_FOR and quiet(sock):
                 return sock, False
             self.end(sock, Reason.IDLE, "")
-        return stream(), True
+        return stream(self.free), True
+
+    def free(self) -> bool:
+        """Frees a descriptor where none is left: one that we keep, or somebody else's."""
+        if self.kept:
+            self.end(self.kept.pop(0)[0], Reason.FULL, "")
+            return True
+        return self.spare()
 
     def sweep(self) -> None:
         """Closes what has been kept too long to be used again."""
