--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -1,8 +1,8 @@
-"""Puts the parts together: a txn's way through them, the beat of the decisions, and the way out."""
+"""Puts the parts together: a request's way through them, the beat of the decisions, and the way out."""
 
 import asyncio
 import logging
-import signal
+import math
 import socket
 import time
 from collections.abc import Callable
@@ -12,10 +12,10 @@
 from ..desk import AtCall, CallEnded, Desk, Kind, Leaving, Recalled, RunEnded, Seat, Step, Try
 from ..executor import End, Link
 from ..facts import gauges
-from ..interface import Gauges, Outcome, Repeatable
+from ..interface import Gauges, Outcome, Repeatable, ServerFacts
 from ..naming import Reports
-from ..rpc import Asked, Front, Known
-from ..sockets import MS, Tasks, rest
+from ..rpc import Front, Known, Request
+from ..sockets import MS, Tasks, out_of_descriptors, rest
 from .configuration import Broken, Orders, read
 from .fleeting import Fleeting, NoFleet
 from .leveling import Leveling, NoLevels
@@ -29,7 +29,8 @@
 GAUGES_WAIT = 30 * MS  # gauges later than this are of another moment
 UNWANTED_WAIT = 250 * MS
 RESULTS_SHARE = 8  # one part in this many of our own memory, for results that repeats may ask for
-RESERVE = 64  # descriptors for the link, calls, reports and what the process itself holds
+RESERVE = 64  # descriptors, at least, for the link, calls, reports and what the process itself holds
+OWN = 32  # of them without the calls on their way: what the process holds, and connections kept for calls
 LAST_WRITES = 250 * MS  # before the kill: what the last answers and this process need to get out
 RUN_OUTCOME = {End.PASS: Outcome.OK, End.FAIL: Outcome.FAILED, End.KILLED: Outcome.STOPPED,
                End.NOOP: Outcome.MOOT, End.BAD: Outcome.MOOT}
@@ -49,19 +50,20 @@
         return self.last
 
 
-def room(sockets: int) -> int:
-    """How many connections of balancers there may be."""
-    return max(sockets - RESERVE, sockets // 2)
+def room(sockets: int, facts: ServerFacts) -> int:
+    """How many connections of balancers there may be: so many calls as may be in hand find a descriptor besides."""
+    calls = facts.calls_share or facts.crowd * facts.cores
+    return max(sockets - max(RESERVE, OWN + math.ceil(calls)), sockets // 2)
 
 
-def answer(asked: Asked, step: Step) -> None:
+def answer(asked: Request, step: Step) -> None:
     match step.kind:
         case Kind.SETTLE | Kind.SETTLE_AS:
             asked.settle(step.body)
         case Kind.DECLINE:
-            asked.decline(step.stay_away, step.final)
+            asked.refuse(step.stay_away, step.final)
         case _:
-            asked.void()
+            asked.fail()
 
 
 class Server:
@@ -77,31 +79,25 @@
         self.recovery: Recovering = recovering(self) if recovering is not None else NoRecovery()
         self.fleet: Fleeting = fleeting(self) if fleeting is not None else NoFleet()
         self.rolling: Rolling = rolling(self) if rolling is not None else NoRolling()
-        self.product = {name: index for index, name in enumerate(orders.products)}
-        referenced = {name: orders.facts.products[index].repeatable is Repeatable.REFERENCED
-                      for name, index in self.product.items()}
+        self.class_index = {name: index for index, name in enumerate(orders.products)}
+        keyed = {name: orders.facts.products[index].repeatable is Repeatable.REFERENCED
+                      for name, index in self.class_index.items()}
         self.desk: Desk | None = None
-        self.serving: dict[str, Asked] = {}
+        self.serving: dict[str, Request] = {}
         self.leaving = False
         self.over = asyncio.Event()
         self.address = listener.getsockname()
-        known = Known(referenced, orders.tenants, max(product.expiry for product in orders.facts.products))
-        self.front = Front(listener, known, room(orders.sockets), self.tasks, self.clock, self.asked,
+        known = Known(keyed, orders.tenants, max(product.expiry for product in orders.facts.products))
+        self.front = Front(listener, known, room(orders.sockets, orders.facts), self.tasks, self.clock, self.asked,
                            self.lost, self.serves, self.good, self.said)
-        self.link = Link(orders.executor, self.tasks, self.welcome, self.run_ended, self.at_call)
-        self.pool = self.fleet.pool(Pool(orders.catalogue))
+        spare = self.front.make_room
+        self.link = Link(orders.executor, self.tasks, self.welcome, self.run_ended, self.at_call, spare)
+        self.pool = self.fleet.pool(Pool(orders.catalogue, spare))
         self.reports = Reports(orders.naming, orders.name)
 
     async def run(self) -> None:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            asyncio.get_running_loop().add_signal_handler(number, self.leave)
         await self.record.open()
         await self.fleet.open()
-        # Not by the loop's handler: the loop would restore the default as it closes, and a reload then would
-        # end what has gone well. Ours stays until the signal is ignored for good.
-        loop = asyncio.get_running_loop()
-        signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(self.reload) and None)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self.front.listen()
         self.tasks.start(self.link.keep(), "executor")
         self.tasks.start(self.reports.keep(), "naming")
@@ -109,7 +105,6 @@
         self.rolling.open()
         log.info("event=listening name=%s address=%s:%d", self.orders.name, *self.address)
         await self.over.wait()
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         await self.rolling.close()
         self.levels.close()
         self.recovery.close()
@@ -120,18 +115,25 @@
     def reload(self) -> None:
         """Takes up the addresses that the configuration now names; all else holds until the next start."""
         try:
-            orders = read()
+            try:
+                orders = read()
+            except Broken as error:
+                # The file itself wants a descriptor: idle clients that hold them all must not hide where all went.
+                if not out_of_descriptors(error.__cause__) or not self.front.make_room():
+                    raise
+                orders = read()
         except Broken as error:
             log.warning("event=reload-failed detail=%r", str(error))
             return
         self.link.move(orders.executor)
         self.pool.move(orders.catalogue)
         self.reports.move(orders.naming)
-        self.front.most = room(orders.sockets)
-        log.info("event=reloaded executor=%s:%d catalogue=%s:%d naming=%s:%d",
-                 *orders.executor, *orders.catalogue, *orders.naming)
+        self.front.most = room(orders.sockets, orders.facts)
+        log.info("event=reloaded executor=%s:%d catalogue=%s naming=%s:%d",
+                 *orders.executor, "%s:%d" % orders.catalogue if orders.catalogue is not None else "none",
+                 *orders.naming)
 
-    # A txn's way.
+    # A request's way.
 
     def serves(self, id: str) -> bool:
         return id in self.serving or self.desk is not None and self.desk.knows(id)
@@ -142,19 +144,19 @@
         part = self.desk.service.part
         return self.desk.said_trial if part and self.levels.lot(caller) < part else self.desk.said
 
-    def lost(self, asked: Asked) -> None:
+    def lost(self, asked: Request) -> None:
         if self.desk is not None and self.desk.knows(asked.id):
             self.desk.withdraw(asked.id)
         else:
             self.serving.pop(asked.id, None)  # it is being looked up, for nobody now
             self.record.answered(asked.id)
 
-    def asked(self, asked: Asked) -> None:
+    def asked(self, asked: Request) -> None:
         if self.desk is None:
-            asked.decline(0, False)
+            asked.refuse(0, False)
             return
-        tried = Try(asked.id, asked.at, asked.caller, self.product[asked.product], asked.cost, asked.kb, asked.rank,
-                    asked.once, asked.key, asked.body, self.record.accepts(), asked.retry,
+        tried = Try(asked.id, asked.at, asked.caller, self.class_index[asked.request_class], asked.cost, asked.kb, asked.rank,
+                    asked.idempotency_key, asked.key, asked.body, self.record.accepts(), asked.retry,
                     self.levels.over(asked.tenant), self.levels.lot(asked.caller), self.recovery.holds_back(asked.retry))
         if asked.retry and self.record.looks and (mark := self.desk.unknown(tried)):
             self.serving[asked.id] = asked
@@ -162,16 +164,16 @@
         else:
             self.take(self.desk, asked, tried)
 
-    async def look(self, desk: Desk, asked: Asked, tried: Try, mark: bytes) -> None:
-        """Another node may have run it: one that ran is not declined."""
+    async def look(self, desk: Desk, asked: Request, tried: Try, mark: bytes) -> None:
+        """Another node may have run it: one that ran is not refused."""
         await self.record.look(mark, asked.id, asked.at, tried.product)
         if self.serving.pop(asked.id, None) is not None:
             self.take(desk, asked, tried)
 
-    def take(self, desk: Desk, asked: Asked, tried: Try) -> None:
+    def take(self, desk: Desk, asked: Request, tried: Try) -> None:
         if asked.retry and self.recovery.fenced() and desk.unknown(tried):
-            # It may have run in a life whose marks are lost: neither run again nor declined.
-            asked.void()
+            # It may have run in a life whose marks are lost: neither run again nor refused.
+            asked.fail()
             self.record.answered(asked.id)
             return
         step = desk.take(tried)
@@ -181,12 +183,12 @@
             self.record.answered(asked.id)
             return
         self.serving[asked.id] = asked
-        self.tasks.start(self.serve(desk, asked, step), "txn")
+        self.tasks.start(self.serve(desk, asked, step), "request")
 
-    async def serve(self, desk: Desk, asked: Asked, seat: Seat) -> None:
+    async def serve(self, desk: Desk, asked: Request, seat: Seat) -> None:
         below: asyncio.Task[None] | None = None
         answered = False
-        product = self.product[asked.product]
+        product = self.class_index[asked.request_class]
         try:
             while not answered:
                 step = await desk.pick(seat)
@@ -207,20 +209,20 @@
                         self.record.answered(asked.id)
         finally:
             if not answered:
-                asked.void()
+                asked.fail()
             if below is not None:
                 below.cancel()
             self.serving.pop(asked.id, None)
 
-    async def recall(self, desk: Desk, asked: Asked, mark: bytes) -> None:
-        expiry = self.orders.facts.products[self.product[asked.product]].expiry
-        desk.report(Recalled(asked.id, await self.record.recall(mark, asked.at + expiry)))
+    async def recall(self, desk: Desk, asked: Request, mark: bytes) -> None:
+        deadline = self.orders.facts.products[self.class_index[asked.request_class]].expiry
+        desk.report(Recalled(asked.id, await self.record.recall(mark, asked.at + deadline)))
 
     def execute(self, id: str) -> None:
         """Its run may begin now. Where its connection went meanwhile it runs all the same: it was started."""
         asked = self.serving.get(id)
         if asked is not None:
-            self.link.run(id, asked.product, asked.body)
+            self.link.run(id, asked.request_class, asked.body)
         else:
             self.run_ended(id, End.NOOP, 0, b"")
 
@@ -296,21 +298,23 @@
                 self.front.idle = desk.idle_for
                 self.pool.sweep()
             except Exception:
-                # The next round is due all the same: without it no txn in hand would ever be given up.
+                # The next round is due all the same: without it no request in hand would ever be given up.
                 log.exception("event=fault side=beat")
                 due = desk.due
 
     # The way out.
 
-    def leave(self) -> None:
+    def leave(self, noticed: int = 0) -> None:
+        """`noticed`: when the clock was last looked at before the notice was heard. It was sent after that; by how
+        much, a process that had stood still can't tell, and counts grace and kill from the earlier."""
         if self.leaving:
             return
         self.leaving = True
-        now = self.clock()
+        now = noticed or self.clock()
         stop = now + max(self.orders.stop - LAST_WRITES, 0)
         log.info("event=leaving stop_ms=%d", self.orders.stop // MS)
         if self.desk is not None:
-            self.desk.report(Leaving(stop))
+            self.desk.report(Leaving(now, stop))
             self.reports.tell(False)
         self.tasks.start(self.drain(now, stop), "drain")
 
@@ -324,4 +328,5 @@
             await rest(MOMENT)
         while (self.front.busy or self.serving) and self.clock() < stop + LAST_WRITES // 2:
             await rest(MOMENT)
+        await self.front.close(stop + LAST_WRITES * 3 // 4 - self.clock())
         self.over.set()
