--- a/burlloom/catalogue/pool.py
+++ b/burlloom/catalogue/pool.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from ..sockets import MS, SECOND, Ended, Reason, stream
+from ..sockets import MS, SECOND, Ended, Inlet, Reason, stream
 
 log = logging.getLogger(__name__)
 
@@ -99,11 +99,12 @@
 
 
 class Pool:
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(self, address: tuple[str, int] | None) -> None:
+        """`None`: this server was told of no catalogue, and reaches none."""
         self.aim(address)
         self.kept: list[tuple[socket.socket, int]] = []
 
-    def move(self, address: tuple[str, int]) -> None:
+    def move(self, address: tuple[str, int] | None) -> None:
         """New calls go to this address; those on their way may finish where they are."""
         if address != self.address:
             self.aim(address)
@@ -115,8 +116,8 @@
             self.end(sock, Reason.MOVED, "")
         self.kept.clear()
 
-    def aim(self, address: tuple[str, int]) -> None:
-        self.address, self.host = address, f"{address[0]}:{address[1]}"
+    def aim(self, address: tuple[str, int] | None) -> None:
+        self.address, self.host = address, f"{address[0]}:{address[1]}" if address is not None else ""
 
     async def call(self, id: str, body: bytes, patience: int, kept: bool) -> tuple[Answer, bytes]:
         """One call; given up when `patience` is over, or the task is cancelled.
@@ -126,7 +127,10 @@
         """
         sock: socket.socket | None = None
         address = self.address
+        if address is None:
+            return Answer.UNREACHED, b""
         reply, wrote, keep, reason, detail = Reply(), False, False, Reason.GIVEN_UP, ""
+        until = time.monotonic_ns() + patience
         try:
             async with asyncio.timeout(max(0, patience) / SECOND):
                 loop = asyncio.get_running_loop()
@@ -134,7 +138,8 @@
                 if new:
                     await loop.sock_connect(sock, address)
                 wrote = True
-                await loop.sock_sendall(sock, self.text(id, body, patience))
+                # What the dial took is no longer ours to wait: the other side would work on for nobody.
+                await loop.sock_sendall(sock, self.text(id, body, until - time.monotonic_ns()))
                 await self.read(sock, reply)
             keep = reply.keep
             reason = Reason.NOT_KEPT
@@ -168,9 +173,9 @@
         return head.encode() + body
 
     async def read(self, sock: socket.socket, reply: Reply) -> None:
-        loop, room = asyncio.get_running_loop(), memoryview(bytearray(READ_BYTES))
+        inlet, room = Inlet(sock), memoryview(bytearray(READ_BYTES))
         while not reply.over:
-            size = await loop.sock_recv_into(sock, room)
+            size = await inlet.receive(room)
             if not size:
                 raise Ended(Reason.PEER_CLOSED, "before the reply was whole")
             reply.feed(room[:size])
