--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -18,8 +18,8 @@
 from rig import Rig, gets, played, soon, until
 from burlloom.catalogue import Answer, Pool
 from burlloom.executor import Link
-from burlloom.rpc import Asked, Front, Known
-from burlloom.sockets import MS, SECOND, Tasks
+from burlloom.rpc import Front, Known, Request
+from burlloom.sockets import MS, SECOND, Reason, Tasks
 from burlloom.standins.parts import fields
 
 KNOWN = Known({"look": False}, (), 6 * SECOND)
@@ -29,7 +29,7 @@
     """A front on the loopback, with a clock that we move; every request it hands over is kept, unanswered."""
 
     def __init__(self, most: int = 8) -> None:
-        self.now, self.asked, self.lost = time.time_ns(), list[Asked](), list[Asked]()
+        self.now, self.asked, self.lost = time.time_ns(), list[Request](), list[Request]()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = self.listener.getsockname()
         self.front = Front(self.listener, KNOWN, most, Tasks(), lambda: self.now, self.asked.append, self.lost.append,
@@ -197,13 +197,44 @@
     assert await client.rest() == [] and client.there.ended
 
 
+@on_loop
+async def test_bytes_that_lie_unread_prolong_no_unfinished_message() -> None:
+    """A message that never ends goes on at each look: its time is over all the same, and 1.5 s after it connected."""
+    place = Place()
+    client = await place.client()
+    client.sock.sendall(ask(1, place.now)[:3])
+    await until(lambda: client.there.partial_since)
+    place.now += 1600 * MS
+    place.front.swept = place.now - 250 * MS
+    in_one_turn(lambda: client.sock.sendall(ask(1, place.now)[3:9]), place.front.sweep)
+    await turns()
+    assert client.there.ended and await client.rest() == []
+
+
+@on_loop
+async def test_the_rest_of_a_message_comes_as_its_time_is_over() -> None:
+    place = Place()
+    client = await place.client()
+    whole = ask(1, place.now)
+    client.sock.sendall(whole[:9])
+    await until(lambda: client.there.partial_since)
+    place.now += 1600 * MS
+    place.front.swept = place.now - 250 * MS
+    in_one_turn(lambda: client.sock.sendall(whole[9:]), place.front.sweep)
+    await turns()
+    assert [asked.number for asked in place.asked] == [1] and not place.lost
+    place.asked[0].settle(b"served")
+    client.sock.shutdown(socket.SHUT_WR)
+    assert await client.rest() == [[1, 1, None, [b"served", {}]]]
+
+
 @on_loop
 async def test_closes_under_way_count_as_connections() -> None:
     """Those who never close their half hold a descriptor: a newcomer takes the place of the oldest of them."""
     place = Place(most=3)
     clients = [await place.client() for _ in range(3)]
     for client in clients:
-        client.sock.sendall(b"\xc1")
+        client.sock.sendall(request(1, "health", {}) + b"\xc1")
     await until(lambda: len(place.front.partings) == 3)
     await place.client()
     await until(lambda: len(place.front.partings) == 2)
@@ -273,17 +304,46 @@
     asyncio.run(play())
 
 
+MOMENTS = {"the-loop-has-closed": "uvloop.run = lambda work: (run(work), os.kill(os.getpid(), signal.NUMBER))",
+           # Python looks for its last garbage after it has put back the defaults of all signals that it handled.
+           "python-has-let-go-of-signals": "Last = type('Last', (), {'__del__': lambda self, kill=os.kill, pid=os.getpid(), "
+                                           "number=signal.NUMBER: kill(pid, number)}); uvloop.run = lambda work: "
+                                           "(run(work), (lambda last: setattr(last, 'itself', last))(Last()))"}
+
+
 @pytest.mark.parametrize("number", ["SIGTERM", "SIGINT", "SIGHUP"])
-def test_a_second_notice_as_the_program_ends(number: str, tmp_path: Path) -> None:
-    """It comes when the loop has closed and the process is not yet gone."""
+@pytest.mark.parametrize("moment", MOMENTS)
+def test_a_second_notice_as_the_program_ends(moment: str, number: str, tmp_path: Path) -> None:
+    """The process is over but for its end, and still ends with status 0."""
     async def play() -> None:
-        main = signalled(f"uvloop.run = lambda work: (run(work), os.kill(os.getpid(), signal.{number}))")
+        main = signalled(MOMENTS[moment].replace("NUMBER", number))
         async with Rig(tmp_path, main=main) as rig:
             rig.process.send_signal(signal.SIGTERM)
             assert await soon(rig.process.wait()) == 0
     asyncio.run(play())
 
 
+@on_loop
+async def test_closes_under_way_hold_no_more_than_connections_may() -> None:
+    """Clients that never read, each owed 400 KB, send what ends them all in one moment."""
+    place = Place(most=64)
+    clients = [await place.client() for _ in range(40)]
+    for client in clients:
+        client.there.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.sock.sendall(ask(1, place.now))
+    await until(lambda: len(place.asked) == 40)
+    for asked in place.asked:
+        asked.settle(b"x" * 400_000)
+    await turns()
+    most = 0
+    for client in clients:
+        client.there.stop(Reason.UNREADABLE)
+        most = max(most, sum(parting.writer.size for parting in place.front.partings))
+    assert 4 << 20 < most <= 8 << 20 and not place.front.connections
+    await until(lambda: not place.front.partings)
+
+
 @played(drain_grace=300000)
 async def test_the_grace_counts_from_the_notice_not_from_its_hearing(rig: Rig) -> None:
     """The process stood still as the notice came: what arrives past the grace is not run, however late it hears."""
@@ -356,3 +416,112 @@
         sock, _ = await soon(loop.sock_accept(listener))  # and a new link is made
         sock.close()
         keeping.cancel()
+
+
+def unanswered() -> tuple[socket.socket, list[socket.socket]]:
+    """A listener whose backlog is full: nobody answers a dial there."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    dials = [socket.socket() for _ in range(2)]
+    for dial in dials:
+        dial.setblocking(False)
+        dial.connect_ex(listener.getsockname())
+    return listener, dials
+
+
+def linked(address: tuple[str, int]) -> Link:
+    return Link(address, Tasks(), lambda empty, age: None, lambda *ended: None, lambda *at: None)
+
+
+@on_loop
+async def test_a_dial_that_nobody_answers_is_made_again() -> None:
+    """Older systems dial again only 1, 3, 7 and 15 s after the first (newer ones each second at first, where this held
+    before): the link is found within the next second or two on either."""
+    loop = asyncio.get_running_loop()
+    listener, dials = unanswered()
+    link = linked(listener.getsockname())
+    keeping = loop.create_task(link.keep())
+    await asyncio.sleep(1.5)  # the first dial and the system's own second are lost
+    for dial in dials:
+        dial.close()
+    listener.setblocking(False)
+    until_, joined = time.monotonic() + 1.4, False
+    while not joined:
+        async with asyncio.timeout(until_ - time.monotonic()):
+            sock, _ = await loop.sock_accept(listener)
+            joined = await loop.sock_recv(sock, 64) == b"JOIN 0\r\n"
+    keeping.cancel()
+    listener.close()
+
+
+@on_loop
+async def test_a_move_in_the_middle_of_a_dial() -> None:
+    loop = asyncio.get_running_loop()
+    listener, dials = unanswered()
+    link = linked(listener.getsockname())
+    keeping = loop.create_task(link.keep())
+    await until(lambda: link.trying is not None)
+    await turns()
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        link.move(other.getsockname())
+        other.setblocking(False)
+        sock, _ = await soon(loop.sock_accept(other))
+        assert await soon(loop.sock_recv(sock, 64)) == b"JOIN 0\r\n"
+        keeping.cancel()
+        sock.close()
+    for dial in (*dials, listener):
+        dial.close()
+
+
+@played(n_cores=4, window=60_000_000)
+async def test_a_repeat_comes_as_the_first_ends(rig: Rig) -> None:
+    """Both lie in the kernel as the process goes on, on two connections; whichever is taken first, it runs once."""
+    first, second = await rig.balancer(), await rig.balancer()
+    for count in range(10):
+        key, at = f"k{count}", str(time.time_ns() // MS)
+        answer = first.ask("pay", fields(once=key, at=at))
+        id = await rig.command("EXEC", "pay")
+        rig.process.send_signal(signal.SIGSTOP)
+        repeat = second.ask("pay", fields(once=key, at=at, retry="1"))
+        rig.executor.exit(id, result=key.encode())
+        await asyncio.sleep(0)
+        await second.writer.drain()
+        rig.process.send_signal(signal.SIGCONT)
+        await gets(answer, key.encode())
+        await gets(repeat, key.encode())
+        assert rig.executor.commands.empty()
+
+
+@played(n_cores=4, window=300_000)
+async def test_a_window_that_is_over_before_the_run_is(rig: Rig) -> None:
+    """Short windows: what was written within one is never run again, however late it is read; what came after may be."""
+    balancer, other = await rig.balancer(), await rig.balancer()
+    at = time.time_ns() // MS
+    answer = balancer.ask("pay", fields(once="k", at=str(at)))
+    id = await rig.command("EXEC", "pay")
+    await asyncio.sleep(0.5)  # the window is over, the run is not
+    inside = other.ask("pay", fields(once="k", at=str(at + 299), retry="1"))
+    await soon(other.health())
+    assert rig.executor.commands.empty() and not inside.done()
+    rig.executor.exit(id, result=b"paid")
+    await gets(answer, b"paid")
+    await gets(inside, b"paid")
+    await gets(other.ask("pay", fields(once="k", at=str(at + 300), retry="1")), b"paid")  # read late, once it had ended
+    after = other.ask("pay", fields(once="k"))
+    rig.executor.exit(await rig.command("EXEC", "pay"), result=b"paid anew")
+    await gets(after, b"paid anew")
+
+
+@played(n_cores=4, fresh_for=400_000)
+async def test_a_read_shares_no_answer_that_is_too_old(rig: Rig) -> None:
+    """The last moments of the time in which answers may be shared: within it, and some milliseconds past it."""
+    balancer = await rig.balancer()
+    for count in range(5):
+        key = f"k{count}"
+        answer = balancer.ask("look", fields(key=key))
+        rig.executor.exit(await rig.command("EXEC", "look"), result=b"first")
+        await gets(answer, b"first")
+        ended = time.time_ns() // MS
+        await gets(balancer.ask("look", fields(key=key, at=str(ended + 350))), b"first")
+        late = balancer.ask("look", fields(key=key, at=str(ended + 401 + 10 * count)))
+        rig.executor.exit(await rig.command("EXEC", "look"), result=b"second")
+        await gets(late, b"second")
