--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -19,7 +19,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
-from cold_fleet import bound  # noqa: E402
+from cold_fleet import bound, worst_mean  # noqa: E402
 from rig import Rig, soon  # noqa: E402
 
 from burlloom.standins.parts import Catalogue, Reply, fields  # noqa: E402
@@ -45,16 +45,7 @@
 
     def worst(self) -> float:
         """The largest mean in hand over any `SPAN`."""
-        steps = [*self.steps, (time.monotonic(), self.open)]
-        sums, most, first = [0.0], 0.0, 0
-        for (began, count), (ended, _) in zip(steps, steps[1:], strict=False):
-            sums.append(sums[-1] + (ended - began) * count)
-        for last, (ended, _) in enumerate(steps):
-            while steps[first + 1][0] <= ended - SPAN:
-                first += 1
-            began, count = steps[first]
-            most = max(most, (sums[last] - sums[first] - max(0.0, ended - SPAN - began) * count) / SPAN)
-        return most
+        return worst_mean([*self.steps, (time.monotonic(), self.open)], SPAN)
 
 
 async def work(rig: Rig) -> None:
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -6,7 +6,7 @@
 
 import heapq
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -166,18 +166,20 @@
     def worst(self) -> tuple[float, int]:
         """The largest mean in hand over any SPAN, and the most at any moment."""
         steps = [*self.steps, (self.now, self.in_hand)]
-        area, sums = 0, [0]
-        for (began, count), (ended, _) in zip(steps, steps[1:], strict=False):
-            area += (ended - began) * count
-            sums.append(area)
-        most, first = 0.0, 0
-        for last, (ended, _) in enumerate(steps):
-            while steps[first + 1][0] <= ended - SPAN:
-                first += 1
-            began, count = steps[first]
-            inside = sums[last] - sums[first] - max(0, ended - SPAN - began) * count
-            most = max(most, inside / SPAN)
-        return most, max(count for _, count in steps)
+        return worst_mean(steps, SPAN), max(count for _, count in steps)
+
+
+def worst_mean(steps: Sequence[tuple[float, int]], span: float) -> float:
+    """The largest mean over any span; `steps` tell when, and how many are in hand from then on, up to the last."""
+    sums, most, first = [0.0], 0.0, 0
+    for (began, count), (ended, _) in zip(steps, steps[1:], strict=False):
+        sums.append(sums[-1] + (ended - began) * count)
+    for last, (ended, _) in enumerate(steps):
+        while steps[first + 1][0] <= ended - span:
+            first += 1
+        began, count = steps[first]
+        most = max(most, (sums[last] - sums[first] - max(0.0, ended - span - began) * count) / span)
+    return most
 
 
 def bound(total: float) -> float:
