--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -58,7 +58,7 @@
             rig.executor.exit(id, result=b"done")
 
 
-async def ask(rig: Rig, tally: dict[str, int]) -> None:
+async def ask(rig: Rig) -> None:
     """Four requests at a time, for as long as it lives; then again with the next life."""
     while True:
         try:
@@ -66,7 +66,6 @@
             while not balancer.ended.is_set():
                 answers = [balancer.ask("look", fields()) for _ in range(4)]
                 for error, _ in await asyncio.gather(*map(asyncio.shield, answers)):
-                    tally["refused" if error else "served"] += 1
                     if error:
                         await asyncio.sleep(0.05)
         except (asyncio.CancelledError, OSError):
@@ -96,7 +95,6 @@
     chance = Random(seed)
     async with fleet(processes, total, takes) as (rigs, catalogue), AsyncExitStack() as stack:
         tasks: list[asyncio.Task[Any]] = []
-        tally = {"served": 0, "refused": 0}
         began = time.monotonic()
 
         async def live(at: int, rig: Rig) -> None:
@@ -104,7 +102,7 @@
                 await asyncio.sleep(at % 3 * length / 6)
             await stack.enter_async_context(rig)
             rig.executor.state = "EMPTY"
-            tasks.extend((asyncio.create_task(work(rig)), asyncio.create_task(ask(rig, tally))))
+            tasks.extend((asyncio.create_task(work(rig)), asyncio.create_task(ask(rig))))
             for when in (0.3, 0.6) if story == "restarts" else ():
                 await asyncio.sleep(max(0.0, began + when * length + chance.random() / 2 - time.monotonic()))
                 await rig.kill()
@@ -152,8 +150,7 @@
         async with fleet(processes, 24, 0.02) as (rigs, _), AsyncExitStack() as stack:
             for rig in rigs:
                 await stack.enter_async_context(rig)
-            tally = {"served": 0, "refused": 0}
-            tasks = [asyncio.create_task(task) for rig in rigs for task in (work(rig), ask(rig, tally))]
+            tasks = [asyncio.create_task(task) for rig in rigs for task in (work(rig), ask(rig))]
             for _ in range(rounds):
                 again = rigs[:max(1, processes * 4 // 5)]
                 for rig in again:
