Slopes: shapes of growth from five sizes or more, kept in a file that only grows

Cause: the users ask for a page of capacity worked out from measured slopes; nothing kept or fitted such rows.

--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,43 @@
+"""Slopes: shapes are told apart, rows are only added, and what is no slope is refused."""
+
+from math import log2
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from burlloom.lab.slopes import Row, fit, keep, kept, newest
+
+SIZES = (30.0, 100.0, 300.0, 600.0, 1200.0, 2600.0)
+
+
+@pytest.mark.parametrize("shape, cost", [("flat", lambda n: 7.0), ("log", lambda n: 1 + 2 * log2(n)),
+                                         ("linear", lambda n: 0.5 + 0.003 * n), ("square", lambda n: 2 + 1e-4 * n * n)])
+def test_the_shape_is_found_through_noise(shape, cost):
+    chance = Random(5)
+    found = fit(SIZES, [cost(size) * chance.uniform(0.98, 1.02) for size in SIZES])
+    assert found.shape == shape
+    assert found.residual < 0.05
+    assert found.at(5000) == pytest.approx(cost(5000), rel=0.1)
+
+
+def test_fewer_than_five_sizes_are_no_slope(tmp_path: Path):
+    row = Row("a", "servers", "ms", "rest", (1.0, 2.0, 3.0, 4.0, 4.0), (1.0,) * 5, "run", "")
+    with pytest.raises(ValueError, match="4 sizes"):
+        keep(row, tmp_path / "rows")
+    assert kept(tmp_path / "rows") == []
+
+
+def test_rows_are_added_and_the_newest_is_read(tmp_path: Path):
+    place = tmp_path / "rows"
+    for value in (1.0, 2.0):
+        keep(Row("a", "servers", "ms", "rest", SIZES, (value,) * 6, "run", "measured"), place)
+    rows = kept(place)
+    assert [row.values[0] for row in rows] == [1.0, 2.0]
+    assert newest(rows)["a", "rest", "now"].values[0] == 2.0
+    assert rows[1].at and rows[1].cores
+
+
+def test_an_unknown_state_is_refused(tmp_path: Path):
+    with pytest.raises(ValueError, match="state"):
+        keep(Row("a", "servers", "ms", "busy", SIZES, (1.0,) * 6, "run", ""), tmp_path / "rows")
