--- /dev/null
+++ b/benchmarks/scale_crowd.py
@@ -0,0 +1,348 @@
+"""One real member among scripted peers, in simulated time: what it costs at any size, without the square of work of a whole
+swarm.
+
+The peers speak the real messages to the member, and answer it; among themselves they only pass on news, by the
+membership's own rules (six words a message, each so often; views that differ are read whole), without messages. What
+they do costs the member nothing: its processor time is taken around its own `tick` and `hear` alone.
+"""
+
+import heapq
+from bisect import bisect_right
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+from time import thread_time_ns
+from typing import Any
+
+import burlloom.fleet.fleet as whole
+from burlloom.fleet import CALL, Fleet, Habits, State, Terms, Word
+from burlloom.fleet.deal import MS
+from burlloom.fleet.fleet import NEWS_MOST, PAGE_WORDS
+from burlloom.fleet.letters import Kind, Letter, seal, unseal
+from burlloom.fleet.members import hash_of
+
+SECOND = 1_000_000_000
+KEY = b"the benchmark's own key"
+START = 1_700_000_000 * SECOND
+TICK = 50 * MS  # as a server's
+SLOT = 100 * MS  # in which a part of the scripted peers has its turn
+DELAY = (0.3, 1.3)  # ms, one way
+PASSED_ON = 9  # messages a second with news on them: two probes, two answers, five reports
+DAY = 86_400
+PLANNED = 2600
+RESTARTS, DEATHS = 11_000 / DAY / PLANNED, 740 / DAY / PLANNED  # a server a second
+
+
+@contextmanager
+def members_most(size: int) -> Iterator[None]:
+    """A view ends at `MEMBERS_MOST`; past that the bound is raised here, in the benchmark alone."""
+    before = whole.MEMBERS_MOST
+    whole.MEMBERS_MOST = max(before, size)
+    try:
+        yield
+    finally:
+        whole.MEMBERS_MOST = before
+
+
+def words(size: int) -> list[Word]:
+    """The first has lived longest, and deals."""
+    life = START // MS - DAY * 1000
+    return [Word(f"n{at}", f"10.1.{at // 200}.{at % 200 + 1}:7946", life + at, 0, State.ALIVE) for at in range(size)]
+
+
+def terms(size: int) -> Terms:
+    """As an operator's file has them by default; four calls for each server."""
+    return Terms(4 * size * CALL, size // 2 + 1)
+
+
+def filled(all_of: list[Word], at: int, now: int = START, seeds: tuple[str, ...] = ()) -> Fleet:
+    """The member `at` with the whole view, which it took in without messages."""
+    fleet = Fleet(all_of[at], seeds or tuple(word.address for word in all_of[:3]), (KEY,), terms(len(all_of)), Habits(),
+                  Random(at), now)
+    for word in all_of:
+        fleet.members.said(now, word)
+    fleet.members.moves = []
+    return fleet
+
+
+@dataclass(slots=True)
+class Tally:
+    """Of the one real member."""
+
+    cpu_ns: int = 0
+    sent: int = 0
+    heard: int = 0
+    bytes_sent: int = 0
+    bytes_heard: int = 0
+    kinds: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Peer:
+    """`seen`: what it knows otherwise than the crowd began with. `stale`: messages that are full of words which are no
+    news to anybody, as of one that came lately and has learned all of its view as news."""
+
+    at: int
+    word: Word
+    digest: int
+    up: bool = True
+    seen: dict[str, Word] = field(default_factory=dict)
+    news: dict[str, int] = field(default_factory=dict)
+    synced: int = 0
+    share: int = 0
+    number: int = 0
+    stale: int = 0
+
+
+class Crowd:
+    """`fleet`: the real member, whose place is `at`. `churn`: restarts and deaths a server a second."""
+
+    def __init__(self, size: int, at: int, fleet: Fleet | None = None, churn: float = 0.0, seed: int = 1) -> None:
+        self.words, self.now, self.chance, self.churn = words(size), START, Random(seed), churn
+        self.names = sorted(word.name for word in self.words)
+        self.by_name = {word.name: word for word in self.words}
+        self.places = {word.address: n for n, word in enumerate(self.words)}
+        digest = 0
+        for word in self.words:
+            digest ^= hash_of(word)
+        self.at, self.fleet = at, fleet or filled(self.words, at)
+        self.peers = [Peer(n, word, digest) for n, word in enumerate(self.words)]
+        self.most = 3 * size.bit_length()
+        self.queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.numbers = count(1)
+        self.tally, self.events = Tally(), 0
+        self.deals = self.fleet.members.first().name == self.fleet.own.name and len(self.fleet.members.by_name) > 1
+        self.later(self.chance.randrange(TICK), self.tick)
+        self.later(0, self.slot, 0)
+        if churn:
+            lasts = size * self.most / NEWS_MOST / PASSED_ON  # s, for which one that came has its view as news
+            for peer in self.peers:
+                if self.chance.random() < lasts * RESTARTS:
+                    peer.stale = self.chance.randrange(size * self.most // NEWS_MOST)
+            self.next_event()
+
+    # Time.
+
+    def later(self, ns: int, what: Callable[..., None], *told: Any) -> None:
+        heapq.heappush(self.queue, (self.now + ns, next(self.numbers), what, told))
+
+    def run(self, seconds: float) -> None:
+        until = self.now + int(seconds * SECOND)
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, what, told = heapq.heappop(self.queue)
+            what(*told)
+        self.now = until
+
+    def delay(self) -> int:
+        low, high = DELAY
+        return int((low + (high - low) * self.chance.random()) * MS)
+
+    # The real member.
+
+    def tick(self) -> None:
+        began = thread_time_ns()
+        self.fleet.uses(1000 * CALL, self.fleet.share)
+        self.fleet.tick(self.now)
+        self.tally.cpu_ns += thread_time_ns() - began
+        self.after()
+        self.later(TICK, self.tick)
+
+    def hears(self, data: bytes) -> None:
+        self.tally.heard += 1
+        self.tally.bytes_heard += len(data)
+        began = thread_time_ns()
+        self.fleet.hear(self.now, data)
+        self.tally.cpu_ns += thread_time_ns() - began
+        self.after()
+
+    def after(self) -> None:
+        self.fleet.moves = []
+        out = self.fleet.out
+        while out:
+            address, data = out.popleft()
+            self.tally.sent += 1
+            self.tally.bytes_sent += len(data)
+            self.later(self.delay(), self.arrives, self.places[address], data)
+
+    # Peers, towards the real member.
+
+    def arrives(self, place: int, data: bytes) -> None:
+        peer = self.peers[place]
+        if not peer.up or place == self.at:
+            return
+        letter = unseal(data, (KEY,))
+        self.tally.kinds[letter.kind.name] = self.tally.kinds.get(letter.kind.name, 0) + 1
+        self.learns(peer, (letter.sender, *letter.words))
+        match letter.kind:
+            case Kind.PING:
+                self.say(peer, Kind.ACK, letter.number, self.views(peer))
+                self.compares(peer, letter)
+            case Kind.ACK:
+                self.compares(peer, letter)
+            case Kind.ASK:
+                if letter.name in self.by_name and self.peer_of(letter.name).up:
+                    self.later(2 * self.delay(), self.say, peer, Kind.ACK, letter.number, self.views(peer))
+            case Kind.SYNC:
+                self.pages(peer, letter)
+            case Kind.PAGE if letter.name and len(letter.words) == PAGE_WORDS:
+                self.say(peer, Kind.SYNC, letter.number, (), letter.name)
+            case Kind.REPORT:
+                self.say(peer, Kind.GRANT, letter.number, (4 * CALL, 1))
+            case Kind.GRANT:
+                peer.share = letter.numbers[0]
+            case _:
+                pass
+
+    def peer_of(self, name: str) -> Peer:
+        return self.peers[int(name[1:])]
+
+    def views(self, peer: Peer) -> tuple[int, int]:
+        return peer.digest >> 1, self.fleet.terms_digest()
+
+    def say(self, peer: Peer, kind: Kind, number: int, numbers: tuple[int, ...] = (), name: str = "") -> None:
+        letter = Letter(kind, peer.word, number, numbers, name, tuple(self.gossip(peer)))
+        self.later(self.delay(), self.hears, seal(letter, KEY))
+
+    def compares(self, peer: Peer, letter: Letter) -> None:
+        if letter.numbers[0] != peer.digest >> 1 and self.now - peer.synced >= 200 * MS:
+            peer.synced = self.now
+            self.say(peer, Kind.SYNC, letter.number)
+
+    def pages(self, peer: Peer, letter: Letter) -> None:
+        begin = bisect_right(self.names, letter.name)
+        names = self.names[begin:begin + PAGE_WORDS]
+        more = names[-1] if begin + PAGE_WORDS < len(self.names) else ""
+        page = tuple(peer.seen.get(name) or self.by_name[name] for name in names)
+        self.later(self.delay(), self.hears, seal(Letter(Kind.PAGE, peer.word, letter.number, (), more, page), KEY))
+
+    # Peers among themselves.
+
+    def learns(self, peer: Peer, said: tuple[Word, ...]) -> None:
+        for word in said:
+            known = peer.seen.get(word.name) or self.by_name.get(word.name)
+            if known is not None and word.rank > known.rank and word.name != peer.word.name:
+                peer.digest ^= hash_of(known) ^ hash_of(word)
+                peer.seen[word.name] = word
+                peer.news[word.name] = 0
+
+    def becomes(self, peer: Peer, word: Word) -> None:
+        """Its own word from now on, which goes with each of its messages."""
+        peer.word = word
+        known = peer.seen.get(word.name) or self.by_name[word.name]
+        peer.digest ^= hash_of(known) ^ hash_of(word)
+        peer.seen[word.name] = word
+        peer.news[word.name] = 0
+
+    def gossip(self, peer: Peer) -> list[Word]:
+        found = []
+        for name in sorted(peer.news, key=peer.news.__getitem__)[:NEWS_MOST]:
+            peer.news[name] += 1
+            found.append(peer.seen[name])
+            if peer.news[name] >= self.most:
+                del peer.news[name]
+        if peer.stale:
+            peer.stale -= 1
+            found += [peer.seen.get(name) or self.by_name[name]
+                      for name in self.chance.sample(self.names, min(NEWS_MOST - len(found), len(self.names)))]
+        return found
+
+    def slot(self, turn: int) -> None:
+        """A fifth of the peers probe, a half report."""
+        rest = not self.churn
+        if rest:
+            # Only who probes the real member matters: one in each time between probes, on the mean.
+            if self.chance.random() < SLOT / self.fleet.habits.probe:
+                place = (self.at + self.chance.randrange(1, len(self.peers))) % len(self.peers)
+                self.later(self.chance.randrange(SLOT), self.probes, self.peers[place], self.at)
+        else:
+            for peer in self.peers[turn % 5::5]:
+                if peer.up and peer.at != self.at:
+                    self.probes(peer, self.chance.randrange(len(self.peers)))
+        if self.deals:
+            for peer in self.peers[turn % 2::2]:
+                if peer.up and peer.at != self.at:
+                    self.later(self.chance.randrange(SLOT), self.reports, peer)
+        elif self.churn:
+            one = self.peers[0]
+            for peer in self.peers[turn % 2::2]:
+                if peer.up and peer.at not in (0, self.at) and (peer.news or one.news):
+                    self.learns(one, tuple(self.gossip(peer)))
+                    self.learns(peer, tuple(self.gossip(one)))
+        self.later(SLOT, self.slot, turn + 1)
+
+    def probes(self, peer: Peer, place: int) -> None:
+        peer.number += 1
+        other = self.peers[place]
+        if place == self.at:
+            self.say(peer, Kind.PING, peer.number, self.views(peer))
+        elif other.up and other is not peer and (peer.news or other.news or peer.digest != other.digest):
+            self.learns(other, (peer.word, *self.gossip(peer)))
+            self.learns(peer, (other.word, *self.gossip(other)))
+            for one, another in ((peer, other), (other, peer)):
+                if one.digest != another.digest and self.now - one.synced >= 200 * MS:
+                    one.synced = self.now
+                    self.later(len(self.words) // PAGE_WORDS * 2 * self.delay(), self.reads_view, one, another)
+
+    def reads_view(self, one: Peer, another: Peer) -> None:
+        if one.up and another.up:
+            self.learns(one, tuple(another.seen.values()))
+
+    def reports(self, peer: Peer) -> None:
+        peer.number += 1
+        told = (peer.share, peer.share, 1000 * CALL, 1000, self.fleet.roster)
+        self.say(peer, Kind.REPORT, peer.number, told)
+
+    # Churn.
+
+    def next_event(self) -> None:
+        self.later(int(self.chance.expovariate(self.churn * len(self.peers)) * SECOND), self.event)
+
+    def event(self) -> None:
+        others = [peer for peer in self.peers[3:] if peer.up and peer.at != self.at]
+        peer = self.chance.choice(others)
+        self.events += 1
+        if self.chance.random() < DEATHS / (DEATHS + RESTARTS):
+            self.dies(peer)
+            self.later(120 * SECOND, self.comes, peer)  # a guess: the time until another machine stands in its place
+        else:
+            self.leaves(peer)
+            self.later(2 * SECOND, self.comes, peer)
+        self.next_event()
+
+    def leaves(self, peer: Peer) -> None:
+        """Says so to fifty, and goes."""
+        self.becomes(peer, peer.word._replace(state=State.LEFT))
+        for place in {0, *self.chance.sample(range(len(self.peers)), min(50, len(self.peers)))}:
+            if place == self.at:
+                self.later(self.delay(), self.hears, seal(Letter(Kind.BYE, peer.word, 0), KEY))
+            elif place != peer.at:
+                self.learns(self.peers[place], (peer.word,))
+        peer.up = False
+
+    def dies(self, peer: Peer) -> None:
+        """Another probes it in vain, and holds it to be dead when its time for refuting is over."""
+        peer.up = False
+        other = self.chance.choice([one for one in self.peers if one.up and one.at != self.at])
+        silent, habits = self.chance.randrange(habits_of(self).probe) + habits_of(self).probe, habits_of(self)
+        suspicion = habits.suspicion + habits.probe * len(self.words).bit_length() // 4
+        self.later(silent, self.holds, other, peer, State.SUSPECT)
+        self.later(silent + suspicion, self.holds, other, peer, State.DEAD)
+
+    def holds(self, other: Peer, peer: Peer, state: State) -> None:
+        if not peer.up:
+            word = peer.seen.get(peer.word.name) or peer.word
+            self.learns(other, (word._replace(state=state),))
+
+    def comes(self, peer: Peer) -> None:
+        """Started again: it reads the view of one that it knocks at, and has it all as news."""
+        former = self.peers[self.chance.randrange(3)]
+        peer.up, peer.share, peer.number = True, 0, 0
+        peer.seen, peer.digest, peer.news = dict(former.seen), former.digest, {}
+        peer.stale = len(self.words) * self.most // NEWS_MOST
+        self.becomes(peer, Word(peer.word.name, peer.word.address, self.now // MS, 0, State.ALIVE))
+
+
+def habits_of(crowd: Crowd) -> Habits:
+    return crowd.fleet.habits
