Dealing keeps its sums from report to report: no more a walk of the fleet for each

Cause: `Dealer.many`, `free` and `sure` each walked all accounts, and `unknown` the view, for each report; who deals hears one from each member a round, so it cost the square of the fleet. `fair` gathered those who are full anew for each of the others. Change: `fleet/sums.py` keeps what is bound, whose report is fresh and who is unknown, moved by the account that changes; what moves with time alone lies in the order in which it does. Another view, phase or account book, or a clock that stepped back, has them made anew. The work of a report is counted in instructions: 100 and 1,000 members take the same within a tenth.

--- a/burlloom/fleet/deal.py
+++ b/burlloom/fleet/deal.py
@@ -26,6 +26,7 @@
 from typing import NamedTuple
 
 from ..tables import rows
+from .sums import Sums
 
 CALL = 1000  # thousandths
 STICKS = 1500  # thousandths; see `turns`
@@ -154,19 +155,21 @@
         self.accounts: dict[str, Account] = {}  # kept while another deals: old reports can't be played again
         self.fleet: Mapping[str, Present] = {}
         self.is_first, self.roster = False, 0
+        self.kept: Sums | None = None  # over all accounts, as they were last
 
     # What the member calls.
 
     def round(self, now: int, fleet: Mapping[str, Present], first: bool, gap: bool = False,
             roster: int = 0) -> None:
-        """`fleet`: all that may hold something, by name; `roster`: as in a report. `gap`: nothing was done
-        here for long."""
+        """`fleet`: all that may hold something, by name, another mapping where that changed; `roster`: as in a
+        report. `gap`: nothing was done here for long."""
         self.fleet, self.is_first, self.roster = fleet, first, roster
         if self.many(now):
             self.many_at = now
         for name, account in list(self.accounts.items()):
             if name not in fleet or fleet[name].life > account.life or self.lost(now, fleet[name]):
                 del self.accounts[name]
+                self.kept = None
         self.meet(now, Input.GAP if gap else Input.ROUND)
 
     def report(self, now: int, name: str, life: int, number: int, told: Told) -> int | None:
@@ -174,27 +177,38 @@
         present, account = self.fleet.get(name), self.accounts.get(name)
         if self.phase is Phase.IDLE or present is None or life < present.life:
             return None
+        if account is not None and (account.life > life or account.life == life and number <= account.number):
+            return None  # played again, or overtaken
+        sums = self.sums(now)
+        if account is not None:
+            sums.drop(name, account)
         if account is None or account.life < life:
             account = self.accounts[name] = Account(life, number, now, told, told.held)
             self.hurried = True
-        elif account.life > life or number <= account.number:
-            return None  # played again, or overtaken
         else:
             account.number, account.at, account.told, account.bound = number, now, told, told.held
+        sums.take(name, account)
         self.hurried |= told.want > 2 * account.wanted + CALL
         grant = self.grant(now, account)
+        sums.drop(name, account)
         account.bound = max(told.held, grant)
+        sums.take(name, account)
         return grant
 
     def disown(self, name: str, life: int, number: int) -> None:
         """It may be raised by another from now on, and does not count as one that reports to us until it does
         anew; a report up to that number that is still on its way does not change that."""
         account = self.accounts.get(name)
+        sums = self.kept if self.kept is not None and self.kept.accounts is self.accounts else None
+        if sums is not None and account is not None:
+            sums.drop(name, account)
         if account is None or account.life < life:
             account = self.accounts[name] = Account(life, number, 0, Told(0, 0, 0, 1), 0)
         if account.life == life:
             account.number = max(account.number, number)
             account.at = min(account.at, self.since - 2 * self.terms.fresh)
+        if sums is not None:
+            sums.take(name, account)
 
     # Within.
 
@@ -210,17 +224,18 @@
 
     def free(self, now: int) -> int:
         """What is not bound by anyone."""
-        equal = self.terms.equal(len(self.fleet))
-        # Those who have not reported since we began to learn may have been raised by another.
-        bound = sum(account.bound if account.at >= self.since else max(account.bound, equal)
-                    for account in self.accounts.values())
-        return self.terms.total - bound - self.unknown(now)
+        return self.terms.total - self.sums(now).bound - self.unknown(now)
 
     def unknown(self, now: int) -> int:
         """What those may hold of whom nothing is known yet: an equal share each."""
-        count = sum(name not in self.accounts and not self.lost(now, present)
-                    for name, present in self.fleet.items())
-        return count * self.terms.equal(len(self.fleet))
+        return self.sums(now).unknown(now) * self.terms.equal(len(self.fleet))
+
+    def sums(self, now: int) -> Sums:
+        redeal = self.terms.redeal if self.phase is Phase.DEALING else None  # as `lost`
+        if self.kept is None or not self.kept.fits(self.accounts, self.fleet, now, self.since, redeal):
+            equal = self.terms.equal(len(self.fleet))
+            self.kept = Sums(self.accounts, self.fleet, now, self.since, equal, self.terms.fresh, redeal)
+        return self.kept
 
     def lost(self, now: int, present: Present) -> bool:
         """Dead for so long that it is at its floor by itself. Told only where most of the fleet reports."""
@@ -235,7 +250,7 @@
         return max(len(self.fleet), self.terms.least)
 
     def reporting(self, now: int) -> int:
-        return sum(now - account.at <= self.terms.fresh for account in self.accounts.values())
+        return self.sums(now).reporting(now)
 
     def meet(self, now: int, what: Input) -> None:
         for test, phase, effect in RULES.get((self.phase, what), ()):
@@ -321,7 +336,8 @@
         for at in full:
             given[at] = HEADROOM * wants[at]
             left -= given[at]
-        open = [at for at in open if at not in set(full)]
+        over = set(full)
+        open = [at for at in open if at not in over]
     return [share + left * weight / every if every else share
         for share, weight in zip(given, weights, strict=True)]
 
--- /dev/null
+++ b/tests/test_fleet_sums.py
@@ -0,0 +1,197 @@
+"""Whoever deals keeps sums from report to report: they equal a plain walk in any history, and a report's work does not
+grow with the fleet."""
+
+import sys
+from random import Random
+from types import FrameType
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from burlloom.fleet import deal
+from burlloom.fleet.deal import CALL, MS, Dealer, Phase, Present, Terms, Told, fair
+
+
+class Plain(Dealer):
+    """Walks all accounts each time."""
+
+    def reporting(self, now: int) -> int:
+        return sum(now - account.at <= self.terms.fresh for account in self.accounts.values())
+
+    def free(self, now: int) -> int:
+        equal = self.terms.equal(len(self.fleet))
+        bound = sum(account.bound if account.at >= self.since else max(account.bound, equal)
+                    for account in self.accounts.values())
+        return self.terms.total - bound - self.unknown(now)
+
+    def unknown(self, now: int) -> int:
+        count = sum(name not in self.accounts and not self.lost(now, present) for name, present in self.fleet.items())
+        return count * self.terms.equal(len(self.fleet))
+
+
+NAMES = [f"n{at}" for at in range(7)]
+SHARES = st.sampled_from([0, CALL, 5 * CALL, 40 * CALL])
+STEPS = st.one_of(
+    st.tuples(st.just("report"), st.sampled_from(NAMES), st.sampled_from([0, 0, 0, 1]), st.sampled_from([1, 1, 1, 0]), SHARES, SHARES),
+    st.tuples(st.just("round"), st.sampled_from([True, True, True, False]), st.sampled_from([False] * 7 + [True]),
+              st.sampled_from([0, 7])),
+    st.tuples(st.just("view"), st.lists(st.tuples(st.sampled_from(NAMES), st.integers(0, 1), st.booleans(), st.integers(0, 20_000)),
+                                        max_size=7)),
+    st.tuples(st.just("disown"), st.sampled_from(NAMES), st.integers(0, 1), st.integers(0, 30)),
+    st.tuples(st.just("wait"), st.sampled_from([-300, 0, 1, 50, 200, 1599, 1600, 1601, 2000, 5700, 14_000])))
+
+
+def seen(dealer: Dealer, now: int) -> object:
+    return (dealer.phase, dealer.since, dealer.many(now), dealer.sure(now), dealer.reporting(now), dealer.free(now),
+            dealer.unknown(now), {name: (one.life, one.number, one.at, one.told, one.bound, one.target)
+                                  for name, one in dealer.accounts.items()})
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.lists(STEPS, max_size=60), st.integers(1, 5), st.booleans())
+def test_kept_sums_equal_a_plain_walk_in_any_history(steps: list[tuple[Any, ...]], least: int, dealt: bool) -> None:
+    terms, now, number = Terms(30 * CALL, least), 10**13, 0
+    pair = Dealer(terms, now), Plain(terms, now)
+    fleet = {name: Present(0, True, now) for name in NAMES[:4]}
+    for one in pair:
+        one.round(now, fleet, True)
+        if dealt:
+            one.phase = Phase.DEALING
+    for what, *told in steps:
+        if what == "wait":
+            now += told[0] * MS
+        elif what == "view":
+            fleet = {name: Present(life, there, now - age * MS) for name, life, there, age in told[0]}
+            for one in pair:
+                one.fleet = fleet
+        elif what == "round":
+            for one in pair:
+                one.round(now, fleet, told[0], told[1], told[2])
+        elif what == "disown":
+            for one in pair:
+                one.disown(*told)
+        else:
+            name, life, later, held, want = told
+            number += later
+            grants = [one.report(now, name, life, number, Told(held, min(held, CALL), want, 1, 7)) for one in pair]
+            assert grants[0] == grants[1]
+        assert seen(pair[0], now) == seen(pair[1], now)
+
+
+def test_a_clock_that_stepped_back_has_the_sums_made_anew() -> None:
+    now, pair = 10**13, [kind(Terms(30 * CALL), 10**13) for kind in (Dealer, Plain)]
+    for one in pair:
+        one.round(now, {name: Present(1, name != "n2", now) for name in NAMES[:3]}, True)
+        one.phase = Phase.DEALING
+        one.report(now, "n0", 1, 1, Told(0, 0, 0, 1))
+    for ms in (0, 1601, 1600, 14_000, 13_999, 0):
+        assert seen(pair[0], now + ms * MS) == seen(pair[1], now + ms * MS)
+    assert pair[0].reporting(now) == 1 and pair[0].unknown(now) == 20 * CALL
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_kept_sums_equal_a_plain_walk_while_a_fleet_lives(seed: int) -> None:
+    """Long histories that mostly deal: members report, fall silent, die, are started again, come and leave."""
+    chance, now, number = Random(seed), 10**13, 0
+    terms = Terms(40 * CALL, 2)
+    pair = Dealer(terms, now), Plain(terms, now)
+    lives = {f"m{at}": 1 for at in range(10)}
+    silent: set[str] = set()
+    fleet = {name: Present(1, True, now) for name in lives}
+    phases = set()
+    for _ in range(3000):
+        now += chance.choice([0, 1, 20, 60]) * MS
+        name = chance.choice(list(lives))
+        happens = chance.random()
+        if happens < 0.01:
+            silent ^= {name}
+            fleet = {**fleet, name: Present(lives[name], name not in silent, now)}
+        elif happens < 0.015:
+            lives[name] += 1
+            fleet = {**fleet, name: Present(lives[name], True, now)}
+            silent.discard(name)
+        elif happens < 0.02:
+            fleet = {other: present for other, present in fleet.items() if other != name}
+        elif happens < 0.025:
+            for one in pair:
+                one.disown(name, lives[name], number)
+        elif happens < 0.03:
+            now += chance.choice([2000, 15_000]) * MS
+        elif happens < 0.2:
+            gap = chance.random() < 0.01
+            for one in pair:
+                one.round(now, fleet, True, gap, 7)
+        elif name not in silent:
+            fleet = fleet if name in fleet else {**fleet, name: Present(lives[name], True, now)}
+            number += 1
+            held = chance.choice([0, CALL, 4 * CALL])
+            told = Told(held, held, chance.choice([CALL, 100 * CALL]), 1, 7)
+            for one in pair:
+                one.fleet = fleet
+            grants = [one.report(now, name, lives[name], number, told) for one in pair]
+            assert grants[0] == grants[1]
+        assert seen(pair[0], now) == seen(pair[1], now)
+        phases.add(pair[0].phase)
+    assert phases == set(Phase)
+
+
+def steps_of(work: Any) -> int:
+    """Bytecode instructions that it takes, in all functions."""
+    count = 0
+
+    def trace(frame: FrameType, event: str, arg: object) -> Any:
+        nonlocal count
+        frame.f_trace_opcodes = True
+        count += event == "opcode"
+        return trace
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        work()
+    finally:
+        sys.settrace(before)
+    return count
+
+
+def second_of_reports(kind: type[Dealer], size: int) -> int:
+    """Instructions a report, over five rounds in which all report; the rounds themselves are not counted."""
+    now = 10**13
+    dealer, told = kind(Terms(4 * size * CALL), now), Told(CALL, CALL, 100 * CALL, 1, 7)
+    fleet = {f"n{at}": Present(1, True, now) for at in range(size)}
+    steps = 0
+    for number in range(10):
+        dealer.round(now, fleet, True, False, 7)
+        for at in range(size):
+            now += 200 * MS // size
+
+            def report(at: int = at, number: int = number) -> None:
+                dealer.report(now, f"n{at}", 1, number, told)
+                dealer.sure(now)
+            if number >= 5 and at % (size // 20) == 0:
+                steps += steps_of(report)
+            else:
+                report()
+    assert dealer.phase is Phase.DEALING
+    return steps // 100
+
+
+def test_the_work_of_a_report_does_not_grow_with_the_fleet() -> None:
+    small, large = second_of_reports(Dealer, 100), second_of_reports(Dealer, 1000)
+    assert large <= 1.1 * small, (small, large)
+    # The same count tells a walk.
+    assert second_of_reports(Plain, 400) > 3 * second_of_reports(Plain, 100)
+
+
+def test_a_sharing_looks_at_those_who_want_little_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """They were gathered anew for each of the others: the square of the fleet in each turn."""
+    gathered = 0
+
+    def counted(of: list[int]) -> set[int]:
+        nonlocal gathered
+        gathered += len(of)
+        return set(of)
+    monkeypatch.setattr(deal, "set", counted, raising=False)
+    given = fair(4000 * 1000, [at % 2 * 10**6 for at in range(1000)], [1000] * 1000)
+    assert gathered == 500 and sum(given) == pytest.approx(4000 * 1000)
