--- a/benchmarks/scale_servers.py
+++ b/benchmarks/scale_servers.py
@@ -21,7 +21,7 @@
 SIZES = (30, 100, 300, 600, 1000, 1500, 2600)
 BUDGETS = {"ms/s": 37.0, "B/s": 9000.0, "MB": 128.0}  # of a server for all of its control
 SPANS = 5
-EVENTS_LEAST = 8  # restarts and deaths that a run with churn sees on the mean
+EVENTS_LEAST = 16  # restarts and deaths that a run with churn sees on the mean
 PAST = "a view ends at 1,000 (MEMBERS_MOST); past that the bound is raised in the benchmark alone"
 PLACE = "one real member among scripted peers in simulated time, a tick each 50 ms, default terms (round 200 ms); all sizes measured; "
 
