Table of what is in force: sorted leaves in 256 buckets a scope, digests kept as it changes

Change: burlloom/distribution/table.py, a B+ tree of two levels a bucket whose leaves are single byte strings; Tenants, a read-only view for the server. Held against a plain dict over random histories.

--- /dev/null
+++ b/burlloom/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Carrying configuration: versioned, ordered, sealed changes from control machines to every server."""
--- /dev/null
+++ b/burlloom/distribution/table.py
@@ -0,0 +1,453 @@
+"""What is in force, compact: a table of entries in 256 buckets a scope, each bucket a sorted run of small leaves.
+
+It is a B+ tree of two levels (Bayer and McCreight's, leaves only and one index a bucket). A leaf is one `bytes` of at
+most 64 entries, so that the interpreter holds one object for some 40 entries in place of two for each:
+
+    count (2 bytes), length of the keys' part (2), end of each value (2 each), keys, values
+
+Keys stand between bytes 0xFF, which UTF-8 never has, so one search of the keys' part finds a key or tells that it is not
+there. A change rewrites the leaves that it touches and no other: no step grows with the table, and nothing is ever hashed
+anew as a whole. `benchmarks/scale_table.py` measures it beside plain dicts, SQLite in memory and sorted arrays.
+
+Digests (XOR of the entries' xxh3) tell of slips between copies; they keep no stranger out.
+"""
+
+from array import array
+from bisect import bisect_left, bisect_right
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from struct import Struct
+from typing import NamedTuple
+
+import msgpack
+import xxhash
+
+KINDS = ("route", "setting", "tenant")  # in the order of their codes in a leaf's keys
+KEY_BYTES = 128
+VALUE_BYTES = 512
+SCOPE_BYTES = 64
+SCOPES_MOST = 64  # of one table that holds all of them: an operator has regions, not thousands
+BUCKETS = 256
+PUT_MOST = 256  # entries of one `put`: a change has 64, and no page of a datagram's size has more
+LEAF_MOST = 64  # entries: more make a change dearer, fewer make each entry's part of a leaf's object larger
+LEAF_LEAST = 16  # a leaf that has fewer is joined with its neighbour
+ENTRY_BYTES = 1 + 2 + SCOPE_BYTES + 1 + 7 + 2 + KEY_BYTES + 3 + VALUE_BYTES  # of one entry in a page, as MessagePack, at most
+
+CODES = {kind: bytes([ord(kind[0])]) for kind in KINDS}
+NAMES = {code[0]: kind for kind, code in CODES.items()}
+BETWEEN = b"\xff"
+HEAD = Struct("<HH")
+END = Struct("<H")
+Place = tuple[str, str, str]  # scope, kind, key
+
+
+class Entry(NamedTuple):
+    """`scope`: "" or a region; `value`: MessagePack of a map, None where the entry is deleted."""
+
+    scope: str
+    kind: str
+    key: str
+    value: bytes | None
+
+    @property
+    def place(self) -> Place:
+        return self.scope, self.kind, self.key
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Entries of one bucket in the order of (scope, kind, key); `last`: the place of the last one, None if there is none;
+    `done`: the bucket has no more behind them."""
+
+    entries: tuple[Entry, ...]
+    last: Place | None
+    done: bool
+
+
+def bucket_of(kind: str, key: str) -> int:
+    """0 to 255. Raises `UnicodeEncodeError` for a key that UTF-8 can't have."""
+    return int(xxhash.xxh3_64_intdigest(f"{kind}|{key}".encode())) & (BUCKETS - 1)
+
+
+def digest_of_entry(scope: str, kind: str, key: str, value: bytes) -> int:
+    return int(xxhash.xxh3_64_intdigest(msgpack.packb((scope, kind, key, value))))
+
+
+def faults(entry: Entry) -> list[str]:
+    """Why an entry can't be held, each with its field; empty if it can."""
+    found = []
+    for name, text, least, most in (("scope", entry.scope, 0, SCOPE_BYTES), ("key", entry.key, 1, KEY_BYTES)):
+        try:
+            length = len(text.encode())
+        except (AttributeError, UnicodeEncodeError):
+            found.append(f"{name}: not text of UTF-8")
+        else:
+            if not least <= length <= most:
+                found.append(f"{name}: {length} bytes, {least} to {most} allowed")
+    if type(entry.kind) is not str or entry.kind not in CODES:
+        found.append(f"kind: {entry.kind!r:.40} is none of {', '.join(KINDS)}")
+    if entry.value is not None and type(entry.value) is not bytes:
+        found.append("value: not bytes")
+    elif entry.value is not None and len(entry.value) > VALUE_BYTES:
+        found.append(f"value: {len(entry.value)} bytes, at most {VALUE_BYTES} allowed")
+    return found
+
+
+def packed(keys: Sequence[bytes], values: Sequence[bytes]) -> bytes:
+    """A leaf of entries that are in order."""
+    ends, end = array("H"), 0
+    for value in values:
+        end += len(value)
+        ends.append(end)
+    middle = BETWEEN + BETWEEN.join(keys) + BETWEEN
+    return b"".join((HEAD.pack(len(keys), len(middle)), ends.tobytes(), middle, *values))
+
+
+def unpacked(leaf: bytes) -> tuple[list[bytes], list[bytes]]:
+    count, middle = HEAD.unpack_from(leaf)
+    if not count:
+        return [], []
+    start = HEAD.size + 2 * count
+    base = start + middle
+    ends = array("H", leaf[HEAD.size:start])
+    keys = leaf[start + 1:base - 1].split(BETWEEN)
+    values, begin = [], base
+    for end in ends:
+        values.append(leaf[begin:base + end])
+        begin = base + end
+    return keys, values
+
+
+EMPTY = packed((), ())
+
+
+class Bucket:
+    """The entries of one scope and one bucket, by code of the kind and key. `firsts[i]`: the least key that leaf i may
+    hold; the first leaf's is empty, so that every key has a leaf."""
+
+    __slots__ = ("firsts", "leaves")
+
+    def __init__(self) -> None:
+        self.firsts: list[bytes] = [b""]
+        self.leaves: list[bytes] = [EMPTY]
+
+    def found(self, key: bytes) -> tuple[bytes, int, int] | None:
+        """The leaf and where in it the value stands."""
+        leaf = self.leaves[bisect_right(self.firsts, key) - 1]
+        count, middle = HEAD.unpack_from(leaf)
+        start = HEAD.size + 2 * count
+        base = start + middle
+        at = leaf.find(b"\xff%b\xff" % key, start, base)
+        if at < 0:
+            return None
+        before = leaf.count(BETWEEN, start, at)
+        begin = END.unpack_from(leaf, HEAD.size + 2 * before - 2)[0] if before else 0
+        return leaf, base + begin, base + END.unpack_from(leaf, HEAD.size + 2 * before)[0]
+
+    def get(self, key: bytes) -> bytes | None:
+        found = self.found(key)
+        return None if found is None else found[0][found[1]:found[2]]
+
+    def after(self, key: bytes) -> Iterator[tuple[bytes, bytes]]:
+        """Entries behind this key in order, a leaf at a time; the bucket may change in between."""
+        place = bisect_right
+        while True:
+            leaf = bisect_right(self.firsts, key) - 1
+            upto = self.firsts[leaf + 1] if leaf + 1 < len(self.firsts) else None
+            keys, values = unpacked(self.leaves[leaf])
+            for one in range(place(keys, key), len(keys)):
+                yield keys[one], values[one]
+            if upto is None:
+                return
+            key, place = upto, bisect_left
+
+    def write(self, changes: Mapping[bytes, bytes | None]) -> list[tuple[bytes, bytes | None, bytes | None]]:
+        """Sets or deletes, and gives key, old and new value of those that differ."""
+        order = sorted(changes)
+        differing: list[tuple[bytes, bytes | None, bytes | None]] = []
+        at = 0
+        while at < len(order):
+            leaf = bisect_right(self.firsts, order[at]) - 1
+            until = bisect_left(order, self.firsts[leaf + 1], at) if leaf + 1 < len(self.firsts) else len(order)
+            keys, values = unpacked(self.leaves[leaf])
+            known = len(differing)
+            for key in order[at:until]:
+                new, place = changes[key], bisect_left(keys, key)
+                there = place < len(keys) and keys[place] == key
+                old = values[place] if there else None
+                if old == new:
+                    continue
+                differing.append((key, old, new))
+                if new is None:
+                    del keys[place], values[place]
+                elif there:
+                    values[place] = new
+                else:
+                    keys.insert(place, key)
+                    values.insert(place, new)
+            if len(differing) > known:
+                self.lay(leaf, keys, values)
+            at = until
+        return differing
+
+    def lay(self, leaf: int, keys: list[bytes], values: list[bytes]) -> None:
+        """Puts these in the place of one leaf: joined with a neighbour where they are few, parted where they are many."""
+        first, upto = leaf, leaf + 1
+        if len(keys) < LEAF_LEAST and len(self.leaves) > 1:
+            if upto < len(self.leaves):
+                more, theirs = unpacked(self.leaves[upto])
+                keys, values, upto = keys + more, values + theirs, upto + 1
+            else:
+                more, theirs = unpacked(self.leaves[leaf - 1])
+                keys, values, first = more + keys, theirs + values, leaf - 1
+        parts = max(1, -(-len(keys) // LEAF_MOST))
+        cuts = [len(keys) * part // parts for part in range(parts + 1)]
+        self.leaves[first:upto] = [packed(keys[a:b], values[a:b]) for a, b in zip(cuts, cuts[1:], strict=False)]
+        self.firsts[first:upto] = [self.firsts[first], *(keys[cut] for cut in cuts[1:-1])]
+
+
+class Part:
+    """One scope: its buckets, their digests, and how many entries of each kind."""
+
+    __slots__ = ("buckets", "digests", "digest", "counts")
+
+    def __init__(self) -> None:
+        self.buckets = [Bucket() for _ in range(BUCKETS)]
+        self.digests = array("Q", bytes(8 * BUCKETS))
+        self.digest = 0
+        self.counts = dict.fromkeys(KINDS, 0)
+
+
+def told(scope: str, key: bytes, value: bytes) -> Entry:
+    return Entry(scope, NAMES[key[0]], key[1:].decode(), value)
+
+
+class Table:
+    """`scopes`: those that are held, as ("", own region); None: all that come.
+
+    A lookup sees the own region's entry first, then that of everywhere. With all scopes it sees those of everywhere alone;
+    `held` tells the others. All arguments are checked before anything is changed; what is refused raises `ValueError`
+    with all faults, each with its place."""
+
+    def __init__(self, scopes: tuple[str, ...] | None) -> None:
+        self.scopes = None if scopes is None else tuple(sorted(set(scopes)))
+        if self.scopes is not None and not 1 <= len(self.scopes) <= SCOPES_MOST:
+            raise ValueError(f"{len(self.scopes)} scopes, 1 to {SCOPES_MOST} allowed")
+        self.parts: dict[str, Part] = {scope: Part() for scope in self.scopes or ("",)}
+        # Own regions before "", as they are looked up.
+        self.seen: tuple[str, ...] = ("",) if self.scopes is None else (*filter(None, self.scopes), *(("",) if "" in self.scopes else ()))
+        self.lookups = [self.parts[scope] for scope in self.seen]
+        self.shadowed = dict.fromkeys(KINDS, 0)  # keys that more than one of the scopes seen have, each as often as it is hidden
+
+    def get(self, kind: str, key: str) -> bytes | None:
+        """The value in force; None where there is none."""
+        place = self.place(kind, key)
+        if place is not None:
+            for part in self.lookups:
+                if (value := part.buckets[place[0]].get(place[1])) is not None:
+                    return value
+        return None
+
+    def has(self, kind: str, key: str) -> bool:
+        place = self.place(kind, key)
+        return place is not None and any(part.buckets[place[0]].found(place[1]) for part in self.lookups)
+
+    def held(self, kind: str, key: str) -> list[Entry]:
+        """The key's entries in all scopes held, in their order."""
+        place = self.place(kind, key)
+        values = [] if place is None else [(scope, self.parts[scope].buckets[place[0]].get(place[1])) for scope in sorted(self.parts)]
+        return [Entry(scope, kind, key, value) for scope, value in values if value is not None]
+
+    def count(self, kind: str) -> int:
+        """How many keys of a kind `get` finds."""
+        return sum(part.counts[kind] for part in self.lookups) - self.shadowed[kind]
+
+    def entries(self) -> int:
+        """Over all scopes held."""
+        return sum(sum(part.counts.values()) for part in self.parts.values())
+
+    def keys(self, kind: str) -> Iterator[str]:
+        """The keys that `get` finds, in no order of theirs; a leaf is unpacked at a time, and the table may change in
+        between: what is there all the while comes once."""
+        code = CODES[kind]
+        for bucket in range(BUCKETS):
+            for number, part in enumerate(self.lookups):
+                for key, _ in part.buckets[bucket].after(code):
+                    if key[:1] != code:
+                        break
+                    if not any(one.buckets[bucket].found(key) for one in self.lookups[:number]):
+                        yield key[1:].decode()
+
+    def put(self, entries: Iterable[Entry]) -> None:
+        """Sets or deletes all of them, or none. Of two of the same place the later counts."""
+        taken = self.checked(entries)
+        writes: dict[tuple[str, int], dict[bytes, bytes | None]] = {}
+        for entry in taken:
+            bucket = bucket_of(entry.kind, entry.key)
+            writes.setdefault((entry.scope, bucket), {})[CODES[entry.kind] + entry.key.encode()] = entry.value
+        for (scope, bucket), changes in writes.items():
+            self.write(scope, bucket, changes)
+
+    def digest(self) -> int:
+        """Of all entries held."""
+        return self.digest_of(self.parts)
+
+    def digests(self) -> tuple[int, ...]:
+        """Of each of the 256 buckets, over the scopes held."""
+        return self.digests_of(self.parts)
+
+    def digest_of(self, scopes: Iterable[str]) -> int:
+        """Over those of these scopes that are held."""
+        whole = 0
+        for scope in set(scopes):
+            if scope in self.parts:
+                whole ^= self.parts[scope].digest
+        return whole
+
+    def digests_of(self, scopes: Iterable[str]) -> tuple[int, ...]:
+        held = [self.parts[scope].digests for scope in set(scopes) if scope in self.parts]
+        if len(held) == 1:
+            return tuple(held[0])
+        whole = [0] * BUCKETS
+        for digests in held:
+            whole = [a ^ b for a, b in zip(whole, digests, strict=True)]
+        return tuple(whole)
+
+    def page(self, bucket: int, after: Place | None, scopes: Iterable[str], most_bytes: int) -> Page:
+        """The bucket's next entries of these scopes behind `after`, of at most so many bytes as MessagePack, each a list of
+        scope, kind, key and value. Raises `ValueError` for a bucket that is none, or where not even one entry is sure
+        to have room."""
+        no_place(after)
+        if not 0 <= bucket < BUCKETS or most_bytes < ENTRY_BYTES:
+            raise ValueError(f"bucket {bucket} of {BUCKETS}, pages of {most_bytes} bytes, at least {ENTRY_BYTES}")
+        found: list[Entry] = []
+        left = most_bytes
+        for scope in sorted(set(scopes)):
+            if scope not in self.parts or after is not None and scope < after[0]:
+                continue
+            start = inner(after) if after is not None and scope == after[0] else b""
+            for key, value in self.parts[scope].buckets[bucket].after(start):
+                left -= len(scope.encode()) + len(key) + len(value) + 16  # headers, and the kind's name less its code
+                if left < 0:
+                    return Page(tuple(found), found[-1].place, False)
+                found.append(told(scope, key, value))
+        return Page(tuple(found), found[-1].place if found else None, True)
+
+    def replace(self, bucket: int, after: Place | None, page: Page) -> int:
+        """Makes what stands behind `after` up to `page.last` (to the bucket's end if the page is its last) exactly what
+        the page says, in all scopes held, and gives how many entries differed."""
+        no_place(after)
+        taken = self.checked(page.entries)
+        wrong, before = [], after
+        for number, entry in enumerate(taken):
+            words = (("deletes", entry.value is None), ("is of another bucket", bucket_of(entry.kind, entry.key) != bucket),
+                     ("is not behind the one before", before is not None and entry.place <= before))
+            wrong += [f"entries[{number}]: {entry.place!r:.80} {word}" for word, true in words if true]
+            before = entry.place
+        if page.last != (taken[-1].place if taken else None):
+            wrong.append("last: is not the last entry")
+        if not taken and not page.done:
+            wrong.append("done: a page of nothing that is not the last")
+        if wrong or not 0 <= bucket < BUCKETS:
+            raise ValueError("; ".join(wrong) or f"bucket {bucket} of {BUCKETS}")
+        says: dict[str, dict[bytes, bytes | None]] = {}
+        for entry in taken:
+            says.setdefault(entry.scope, {})[CODES[entry.kind] + entry.key.encode()] = entry.value
+        differed = 0
+        for scope in sorted({*self.parts, *says}):
+            if after is not None and scope < after[0] or not page.done and page.last is not None and scope > page.last[0]:
+                continue
+            changes = says.get(scope, {})
+            start = inner(after) if after is not None and scope == after[0] else b""
+            end = inner(page.last) if not page.done and page.last is not None and scope == page.last[0] else None
+            if scope in self.parts:
+                for key, _ in self.parts[scope].buckets[bucket].after(start):
+                    if end is not None and key > end:
+                        break
+                    changes.setdefault(key, None)
+            differed += self.write(scope, bucket, changes)
+        return differed
+
+    def place(self, kind: str, key: str) -> tuple[int, bytes] | None:
+        try:
+            told = key.encode()
+            return int(xxhash.xxh3_64_intdigest(b"%b|%b" % (kind.encode(), told))) & (BUCKETS - 1), CODES[kind] + told
+        except (KeyError, UnicodeEncodeError):
+            return None
+
+    def checked(self, entries: Iterable[Entry]) -> list[Entry]:
+        taken: list[Entry] = []
+        for entry in entries:
+            if len(taken) == PUT_MOST:
+                raise ValueError(f"over {PUT_MOST} entries at once")
+            taken.append(entry)
+        wrong = [f"entries[{number}].{fault}" for number, entry in enumerate(taken) for fault in faults(entry)]
+        scopes = {entry.scope for entry in taken} if not wrong else set()
+        if self.scopes is not None:
+            wrong += [f"entries[{number}].scope: {entry.scope!r} is not held here" for number, entry in enumerate(taken)
+                      if scopes and entry.scope not in self.parts]
+        elif len(scopes | set(self.parts)) > SCOPES_MOST:
+            wrong.append(f"scopes: over {SCOPES_MOST}")
+        if wrong:
+            raise ValueError("; ".join(wrong))
+        return taken
+
+    def write(self, scope: str, bucket: int, changes: Mapping[bytes, bytes | None]) -> int:
+        if scope not in self.parts:
+            self.parts[scope] = Part()
+        part = self.parts[scope]
+        others = [one for one in self.lookups if one is not part] if part in self.lookups else []
+        differing = part.buckets[bucket].write(changes)
+        digest = 0
+        for key, old, new in differing:
+            kind, name = NAMES[key[0]], key[1:].decode()
+            if old is not None:
+                digest ^= digest_of_entry(scope, kind, name, old)
+            if new is not None:
+                digest ^= digest_of_entry(scope, kind, name, new)
+            if (old is None) != (new is None):
+                more = 1 if old is None else -1
+                part.counts[kind] += more
+                if any(one.buckets[bucket].found(key) for one in others):
+                    self.shadowed[kind] += more
+        part.digests[bucket] ^= digest
+        part.digest ^= digest
+        return len(differing)
+
+
+def no_place(place: Place | None) -> None:
+    """Raises `ValueError` for what no entry can stand at."""
+    if place is not None and (wrong := faults(Entry(*place, None))):
+        raise ValueError("; ".join(f"after.{fault}" for fault in wrong))
+
+
+def inner(place: Place) -> bytes:
+    """A place within its scope, as leaves order it."""
+    return CODES[place[1]] + place[2].encode()
+
+
+class Tenants(Mapping[str, float]):
+    """The tenants in force, each with its portion of the service, as a view of a table that changes under it. What is not
+    text is in no table. Raises `ValueError` for a portion of a value that is no map with a number."""
+
+    def __init__(self, table: Table) -> None:
+        self.table = table
+
+    def __contains__(self, name: object) -> bool:
+        return type(name) is str and self.table.has("tenant", name)
+
+    def __len__(self) -> int:
+        return self.table.count("tenant")
+
+    def __iter__(self) -> Iterator[str]:
+        return self.table.keys("tenant")
+
+    def __getitem__(self, name: str) -> float:
+        value = self.table.get("tenant", name)
+        if value is None:
+            raise KeyError(name)
+        got = msgpack.unpackb(value)
+        portion = got.get("portion") if type(got) is dict else None
+        if portion is not None and type(portion) not in (int, float):
+            raise ValueError(f"portion of {name!r:.40}: {portion!r:.40} is no number")
+        return float(portion or 1.0)
--- /dev/null
+++ b/tests/test_distribution_table.py
@@ -0,0 +1,304 @@
+"""The table of what is in force, held against a plain model over random histories."""
+
+from array import array
+from collections.abc import Iterable
+
+import msgpack
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from burlloom.distribution import table as module
+from burlloom.distribution.table import (BUCKETS, ENTRY_BYTES, KEY_BYTES, KINDS, PUT_MOST, SCOPE_BYTES, SCOPES_MOST, VALUE_BYTES,
+                                         Entry, Page, Table, Tenants, bucket_of, digest_of_entry)
+
+REGION = "north"
+SCOPES = ("", REGION)
+
+
+def keys_of_bucket(bucket: int, count: int) -> list[str]:
+    """Keys that share a bucket as tenants, so that leaves part and join."""
+    found: list[str] = []
+    number = 0
+    while len(found) < count:
+        if bucket_of("tenant", key := f"t{number}") == bucket:
+            found.append(key)
+        number += 1
+    return found
+
+
+CROWDED = keys_of_bucket(7, 200)
+
+
+class Model:
+    """A plain dict by (scope, kind, key)."""
+
+    def __init__(self, scopes: tuple[str, ...]) -> None:
+        self.rows: dict[tuple[str, str, str], bytes] = {}
+        self.scopes = scopes
+
+    def put(self, entries: Iterable[Entry]) -> None:
+        for entry in entries:
+            if entry.value is None:
+                self.rows.pop(entry.place, None)
+            else:
+                self.rows[entry.place] = entry.value
+
+    def get(self, kind: str, key: str) -> bytes | None:
+        for scope in sorted(self.scopes, reverse=True):  # the region before ""
+            if (scope, kind, key) in self.rows:
+                return self.rows[scope, kind, key]
+        return None
+
+    def bucket(self, bucket: int, scopes: Iterable[str]) -> list[Entry]:
+        return [Entry(*place, value) for place, value in sorted(self.rows.items())
+                if place[0] in set(scopes) and bucket_of(*place[1:]) == bucket]
+
+    def digests(self, scopes: Iterable[str]) -> tuple[int, ...]:
+        whole = [0] * BUCKETS
+        for place, value in self.rows.items():
+            if place[0] in set(scopes):
+                whole[bucket_of(*place[1:])] ^= digest_of_entry(*place, value)
+        return tuple(whole)
+
+
+def whole(table: Table, bucket: int, scopes: Iterable[str], most: int = ENTRY_BYTES) -> list[Entry]:
+    found: list[Entry] = []
+    after = None
+    while True:
+        page = table.page(bucket, after, scopes, most)
+        assert page.last == (page.entries[-1].place if page.entries else None)
+        assert sum(len(msgpack.packb(entry)) for entry in page.entries) <= most
+        found += page.entries
+        if page.done:
+            return found
+        assert page.entries
+        after = page.last
+
+
+def same(table: Table, model: Model) -> None:
+    assert table.entries() == len(model.rows)
+    for kind in KINDS:
+        seen = {place[2] for place in model.rows if place[1] == kind}
+        assert table.count(kind) == len(seen)
+        assert sorted(table.keys(kind)) == sorted(seen)
+    for scopes in ((), ("",), (REGION,), SCOPES):
+        assert table.digests_of(scopes) == model.digests(scopes)
+        whole_digest = 0
+        for digest in model.digests(scopes):
+            whole_digest ^= digest
+        assert table.digest_of(scopes) == whole_digest
+    assert table.digests() == model.digests(SCOPES)
+    assert table.digest() == table.digest_of(SCOPES)
+
+
+key = st.one_of(st.sampled_from(CROWDED), st.text(st.characters(codec="utf-8"), min_size=1, max_size=8))
+value = st.one_of(st.none(), st.binary(max_size=40), st.just(b"\xfft1\xff"), st.just(b"x" * VALUE_BYTES))
+entry = st.builds(Entry, st.sampled_from(SCOPES), st.sampled_from(KINDS), key, value)
+crowd = st.tuples(st.sampled_from(SCOPES), st.integers(0, 199), st.integers(1, 200), st.one_of(st.none(), st.binary(max_size=9))).map(
+    lambda told: [Entry(told[0], "tenant", one, told[3]) for one in CROWDED[told[1]:told[1] + told[2]]])
+puts = st.one_of(st.lists(entry, max_size=64), crowd)
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(puts, max_size=14))
+def test_any_history_is_as_a_plain_dict(history: list[list[Entry]]) -> None:
+    table, model = Table(SCOPES), Model(SCOPES)
+    for entries in history:
+        table.put(entries)
+        model.put(entries)
+    same(table, model)
+    for one in {one.place[1:] for entries in history for one in entries} | {("tenant", one) for one in CROWDED[:9]}:
+        assert table.get(*one) == model.get(*one)
+        assert table.has(*one) == (model.get(*one) is not None)
+        assert table.held(*one) == [Entry(scope, *one, model.rows[scope, *one]) for scope in SCOPES if (scope, *one) in model.rows]
+    for bucket in {7} | {bucket_of(*place[1:]) for place in model.rows}:
+        for scopes in (("",), (REGION,), SCOPES):
+            assert whole(table, bucket, scopes) == model.bucket(bucket, scopes)
+    assert whole(table, 7, SCOPES, 1_300) == model.bucket(7, SCOPES)
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.lists(puts, max_size=8), st.lists(puts, max_size=8), st.integers(ENTRY_BYTES, 3_000))
+def test_pages_of_another_table_make_it_the_same(ours: list[list[Entry]], theirs: list[list[Entry]], most: int) -> None:
+    """Only the buckets that differ are laid anew, and the count is of the entries that differed."""
+    there, here, model = Table(None), Table(SCOPES), Model(SCOPES)
+    for entries in theirs:
+        there.put(entries)
+    there.put([Entry("south", "tenant", one, b"\x80") for one in CROWDED[:9]])  # of a scope that is not held here
+    for entries in ours:
+        here.put(entries)
+        model.put(entries)
+    before, differed, after_all = dict(model.rows), 0, Model(SCOPES)
+    for bucket in range(BUCKETS):
+        if here.digests()[bucket] != there.digests_of(SCOPES)[bucket]:
+            after = None
+            while True:
+                page = there.page(bucket, after, SCOPES, most)
+                differed += here.replace(bucket, after, page)
+                assert here.replace(bucket, after, page) == 0
+                if page.done:
+                    break
+                after = page.last
+    for bucket in range(BUCKETS):
+        after_all.put(whole(there, bucket, SCOPES))
+    same(here, after_all)
+    assert differed == len({place for place in {*before, *after_all.rows} if before.get(place) != after_all.rows.get(place)})
+
+
+@settings(max_examples=60, deadline=None)
+@given(crowd, crowd, st.integers(0, 199))
+def test_a_page_touches_nothing_outside_of_its_range(ours: list[Entry], theirs: list[Entry], start: int) -> None:
+    here, there, model = Table(SCOPES), Table(SCOPES), Model(SCOPES)
+    for table, entries in ((here, ours), (there, theirs)):
+        table.put(entries)
+    model.put(ours)
+    after = ("", "tenant", sorted(CROWDED)[start])
+    page = there.page(7, after, SCOPES, ENTRY_BYTES)
+    here.replace(7, after, page)
+    outside = [one for one in model.bucket(7, SCOPES)
+               if one.place <= after or not page.done and page.last is not None and one.place > page.last]
+    expected = sorted([*outside, *page.entries])
+    assert whole(here, 7, SCOPES) == expected
+
+
+def test_the_own_region_comes_before_everywhere() -> None:
+    table = Table(SCOPES)
+    table.put([Entry("", "tenant", "a", b"1"), Entry(REGION, "tenant", "a", b"2"), Entry("", "tenant", "b", b"3")])
+    assert (table.get("tenant", "a"), table.get("tenant", "b"), table.count("tenant"), table.entries()) == (b"2", b"3", 2, 3)
+    table.put([Entry(REGION, "tenant", "a", None)])
+    assert (table.get("tenant", "a"), table.count("tenant"), table.entries()) == (b"1", 2, 2)
+
+
+def test_a_control_machine_holds_every_scope() -> None:
+    table = Table(None)
+    table.put([Entry("", "route", "a", b"1"), *(Entry(f"r{n}", "route", "a", b"2") for n in range(6))])
+    assert (table.get("route", "a"), table.count("route"), table.entries(), len(table.held("route", "a"))) == (b"1", 1, 7, 7)
+    with pytest.raises(ValueError, match="scopes: over"):
+        table.put([Entry(f"x{n}", "route", "a", b"2") for n in range(SCOPES_MOST)])
+    assert table.entries() == 7
+
+
+@pytest.mark.parametrize("wrong, reason", [
+    (Entry("", "tenant", "k" * (KEY_BYTES + 1), b""), "key: 129 bytes, 1 to 128 allowed"),
+    (Entry("", "tenant", "é" * 65, b""), "key: 130 bytes"),
+    (Entry("", "tenant", "", b""), "key: 0 bytes"),
+    (Entry("", "tenant", "\ud800", b""), "key: not text of UTF-8"),
+    (Entry("", "tenant", 7, b""), "key: not text of UTF-8"),  # type: ignore[arg-type]
+    (Entry("", "tenant", "k", b"v" * (VALUE_BYTES + 1)), "value: 513 bytes, at most 512 allowed"),
+    (Entry("", "tenant", "k", "text"), "value: not bytes"),  # type: ignore[arg-type]
+    (Entry("", ["route"], "k", b""), "kind: ['route'] is none of"),  # type: ignore[arg-type]
+    (Entry("", "caller", "k", b""), "kind: 'caller' is none of route, setting, tenant"),
+    (Entry("s" * (SCOPE_BYTES + 1), "tenant", "k", b""), "scope: 65 bytes"),
+    (Entry("south", "tenant", "k", b""), "scope: 'south' is not held here")])
+def test_what_cant_be_held_is_refused_whole_with_its_place(wrong: Entry, reason: str) -> None:
+    table = Table(SCOPES)
+    with pytest.raises(ValueError) as caught:
+        table.put([Entry("", "tenant", "good", b""), wrong])
+    assert f"entries[1].{reason}" in str(caught.value)
+    assert table.entries() == 0
+    assert table.digest() == 0
+
+
+def test_all_faults_are_told_at_once() -> None:
+    with pytest.raises(ValueError, match=r"entries\[0\]\.key: .*entries\[0\]\.value: .*entries\[2\]\.kind: "):
+        Table(None).put([Entry("", "tenant", "", b"v" * 600), Entry("", "tenant", "k", b""), Entry("", "x", "k", b"")])
+
+
+def test_more_entries_than_a_put_may_have() -> None:
+    table = Table(None)
+    with pytest.raises(ValueError, match=f"over {PUT_MOST} entries"):
+        table.put(Entry("", "tenant", f"k{n}", b"") for n in range(10**9))
+    assert table.entries() == 0
+
+
+def test_the_largest_entries_fill_a_leaf_and_a_page() -> None:
+    table, model = Table(None), Model(("",))
+    keys = [one.ljust(KEY_BYTES, "z") for one in (str(n) for n in range(60_000)) if bucket_of("tenant", one.ljust(KEY_BYTES, "z")) == 3][:150]
+    entries = [Entry("", "tenant", one, b"\xff" * VALUE_BYTES) for one in keys]
+    table.put(entries)
+    model.put(entries)
+    assert whole(table, 3, ("",)) == model.bucket(3, ("",))
+    assert len(table.page(3, None, ("",), 1_400).entries) == 2
+
+
+@pytest.mark.parametrize("page, reason", [
+    (Page((Entry("", "tenant", CROWDED[0], None),), ("", "tenant", CROWDED[0]), True), "deletes"),
+    (Page((Entry("", "tenant", CROWDED[0], b""),), None, True), "last: is not the last entry"),
+    (Page((), None, False), "done: a page of nothing"),
+    (Page((), ("", "tenant", "a"), False), "last: is not the last entry"),
+    (Page(tuple(Entry("", "tenant", one, b"") for one in sorted(CROWDED[:3], reverse=True)), ("", "tenant", min(CROWDED[:3])), True),
+     "is not behind the one before"),
+    (Page((Entry("", "tenant", "elsewhere", b""),), ("", "tenant", "elsewhere"), True), "is of another bucket"),
+    (Page((Entry("south", "tenant", CROWDED[0], b""),), ("south", "tenant", CROWDED[0]), True), "is not held here")])
+def test_a_page_that_contradicts_itself_is_refused_whole(page: Page, reason: str) -> None:
+    table = Table(SCOPES)
+    table.put([Entry("", "tenant", one, b"kept") for one in CROWDED[:20]])
+    before = table.digests()
+    with pytest.raises(ValueError, match=reason):
+        table.replace(7, None, page)
+    assert table.digests() == before
+
+
+def test_bounds_of_buckets_scopes_and_pages() -> None:
+    table = Table(SCOPES)
+    for bucket, most in ((-1, 2000), (BUCKETS, 2000), (0, ENTRY_BYTES - 1)):
+        with pytest.raises(ValueError):
+            table.page(bucket, None, SCOPES, most)
+    for after in (("", "caller", "k"), ("", "tenant", "\ud800"), ("", "tenant", "k" * 200)):
+        with pytest.raises(ValueError, match=r"after\."):
+            table.page(0, after, SCOPES, 2000)
+        with pytest.raises(ValueError, match=r"after\."):
+            table.replace(0, after, Page((), None, True))
+    with pytest.raises(ValueError):
+        table.replace(BUCKETS, None, Page((), None, True))
+    for scopes in ((), tuple(str(n) for n in range(SCOPES_MOST + 1))):
+        with pytest.raises(ValueError):
+            Table(scopes)
+
+
+def test_leaves_stay_small_and_join_again() -> None:
+    """Beyond what a history of a few puts reaches: a bucket of 3,000, then most of them deleted."""
+    keys = keys_of_bucket(9, 3_000)
+    table = Table(None)
+    for start in range(0, 3_000, 50):
+        table.put([Entry("", "tenant", one, b"v") for one in keys[start:start + 50]])
+    bucket = table.parts[""].buckets[9]
+    sizes = [len(module.unpacked(leaf)[0]) for leaf in bucket.leaves]
+    assert max(sizes) <= module.LEAF_MOST
+    assert min(sizes) >= module.LEAF_LEAST
+    for start in range(0, 2_950, 50):
+        table.put([Entry("", "tenant", one, None) for one in keys[start:start + 50]])
+    assert len(bucket.leaves) <= 50 // module.LEAF_LEAST + 1
+    assert sorted(table.keys("tenant")) == sorted(keys[2_950:])
+    table.put([Entry("", "tenant", one, None) for one in keys[2_950:]])
+    assert (len(bucket.leaves), table.digest(), table.digests()) == (1, 0, tuple(array("Q", bytes(8 * BUCKETS))))
+
+
+def test_keys_that_stay_come_once_while_the_table_changes() -> None:
+    table = Table(SCOPES)
+    table.put([Entry("", "tenant", one, b"v") for one in CROWDED])
+    seen = []
+    for number, one in enumerate(table.keys("tenant")):
+        seen.append(one)
+        table.put([Entry("", "tenant", f"new{number}", b"v"), Entry("", "tenant", CROWDED[number % 100], None)])
+        if number > 5_000:
+            pytest.fail("never ends")
+    assert [one for one in seen if one in CROWDED[100:]] == sorted(CROWDED[100:])
+
+
+def test_tenants_as_the_server_reads_them() -> None:
+    table = Table(SCOPES)
+    tenants = Tenants(table)
+    assert not tenants
+    table.put([Entry("", "tenant", "a", msgpack.packb({"portion": 2})), Entry(REGION, "tenant", "a", msgpack.packb({"portion": 0.5})),
+               Entry("", "tenant", "b", msgpack.packb({})), Entry("", "route", "c", b"\x80"), Entry("", "tenant", "bad", b"\xc1"),
+               Entry("", "tenant", "word", msgpack.packb({"portion": "much"}))])
+    assert len(tenants) == 4
+    assert sorted(tenants) == ["a", "b", "bad", "word"]
+    assert (tenants["a"], tenants["b"], tenants.get("c")) == (0.5, 1.0, None)
+    for name in ("c", None, 7, b"a", ["a"], {}, "\ud800", ""):
+        assert name not in tenants
+    for name in ("bad", "word"):
+        with pytest.raises(ValueError):
+            tenants[name]
