--- a/burlloom/command/lab.py
+++ b/burlloom/command/lab.py
@@ -123,3 +123,36 @@
 
 def slug(text: str) -> str:
     return "".join(one if one.isalnum() else "-" for one in text.lower())
+
+
+@lab.command()
+@click.option("--slopes", type=click.Path(dir_okay=False, exists=True, path_type=Path),
+              help="Kept slopes; else the repository's.")
+@click.option("--page", type=click.Path(dir_okay=False, path_type=Path), default=ROOT / "docs" / "CAPACITY.md")
+@click.option("--write", "do", flag_value="write", help="Put the tables between the page's markers.")
+@click.option("--check", "do", flag_value="check",
+              help="Status 1, and the lines that differ, unless the page has these tables.")
+def capacity(slopes: Path | None, page: Path, do: str | None) -> None:
+    """What each role needs at the coming size, from kept slopes; what is missing first."""
+    from difflib import unified_diff
+
+    from ..lab.capacity import NoPage, tables, written
+    from ..lab.slopes import KEPT, kept, newest
+    made = tables(newest(kept(slopes or KEPT)))
+    if do is None:
+        for name, lines in made.items():
+            click.echo(f"\n## {name}\n\n" + "\n".join(lines))
+        return
+    told = page.read_text(encoding="utf-8")
+    try:
+        should = written(told, made)
+    except NoPage as error:
+        click.echo(f"{page.name}: {error}", err=True)
+        sys.exit(1)
+    if do == "write":
+        page.write_text(should, encoding="utf-8")
+    elif told != should:
+        for line in unified_diff(told.splitlines(), should.splitlines(), page.name, "kept slopes", n=0,
+                                 lineterm=""):
+            click.echo(line)
+        sys.exit(1)
