--- /dev/null
+++ b/benchmarks/scale.py
@@ -0,0 +1,26 @@
+"""Slopes of what the program costs by size: each command measures some, prints them with their fits and keeps them in
+`benchmarks/slopes.jsonl`.
+
+    python benchmarks/scale.py --help
+"""
+
+import sys
+from pathlib import Path
+
+import click
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+import scale_configuration  # noqa: E402
+
+
+@click.group()
+def scale() -> None:
+    """Costs by size."""
+
+
+scale.add_command(scale_configuration.configuration)
+scale.add_command(scale_configuration.routes)
+
+if __name__ == "__main__":
+    scale()
