--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -1,5 +1,5 @@
-"""Slopes of what the program costs by size: each command measures some, prints them with their fits and keeps them in
-`benchmarks/slopes.jsonl`.
+"""Slopes of what the program costs by size: each command measures some, prints them with their fits and keeps
+them in `benchmarks/slopes.jsonl`.
 
     python benchmarks/scale.py --help
 """
@@ -9,10 +9,12 @@
 
 import click
 
-sys.path.insert(0, str(Path(__file__).parent))
+sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
 
 import scale_configuration  # noqa: E402
 import scale_request  # noqa: E402
+import scale_servers  # noqa: E402
+import scale_table  # noqa: E402
 
 
 @click.group()
@@ -20,10 +22,9 @@
     """Costs by size."""
 
 
-scale.add_command(scale_configuration.configuration)
-scale.add_command(scale_configuration.routes)
-scale.add_command(scale_request.request)
-scale.add_command(scale_request.during)
+for command in (scale_configuration.configuration, scale_configuration.routes, scale_request.request,
+                scale_request.during, scale_servers.servers, scale_table.table):
+    scale.add_command(command)
 
 if __name__ == "__main__":
     scale()
--- a/burlloom/command/lab.py
+++ b/burlloom/command/lab.py
@@ -136,9 +136,9 @@
     """What each role needs at the coming size, from kept slopes; what is missing first."""
     from difflib import unified_diff
 
-    from ..lab.capacity import NoPage, tables, written
-    from ..lab.slopes import KEPT, kept, newest
-    made = tables(newest(kept(slopes or KEPT)))
+    from ..lab.capacity import NoPage, latest, tables, written
+    from ..lab.slopes import KEPT
+    made = tables(latest(slopes or KEPT))
     if do is None:
         for name, lines in made.items():
             click.echo(f"\n## {name}\n\n" + "\n".join(lines))
--- a/burlloom/lab/capacity.py
+++ b/burlloom/lab/capacity.py
@@ -10,12 +10,13 @@
 import re
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from pathlib import Path
 
 import numpy as np
 
 from ..fleet.fleet import MEMBERS_MOST
 from ..fleet.letters import NAME_MOST
-from .slopes import Row, exponent_word, fit, grown
+from .slopes import KEPT, Row, exponent_word, fit, grown, kept, newest
 
 SERVERS, CALLERS, SERVICES, REGIONS, ZONES, CONTROL = 2_600, 140_000, 3_000, 6, 14, 19
 TENANTS, ROUTES, REQUESTS, CHANGES = 430_000, 240_000, 1_300_000, 35_000  # requests a second, changes a day
@@ -305,6 +306,11 @@
     return max(0.0, fit(row.sizes, row.values).at(size))
 
 
+def latest(path: Path = KEPT) -> dict[tuple[str, str, str], Row]:
+    """By name, state and side the row that was kept last, in whatever order branches were joined."""
+    return newest(sorted(kept(path), key=lambda row: row.at))
+
+
 def row_of(rows: Mapping[tuple[str, str, str], Row], slope: Slope) -> Row | None:
     """What the text of today costs; where only the text before a change was measured, that."""
     return rows.get((slope.name, slope.state, "now")) or rows.get((slope.name, slope.state, "before"))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,6 +1,7 @@
-"""The page of capacity: its tables are of the kept slopes, the arithmetic holds, what is missing is ranked."""
+"""The page of capacity: its tables are of the kept slopes, its sums hold, and what is missing is ranked."""
 
-from dataclasses import replace
+import json
+from dataclasses import asdict, replace
 from pathlib import Path
 
 import pytest
@@ -8,10 +9,10 @@
 
 from burlloom.command.lab import capacity
 from burlloom.lab import capacity as module
-from burlloom.lab.capacity import (BUSY, CORE, Budget, Given, Need, NoPage, Role, Slope, cost, figures,
+from burlloom.lab.capacity import (BUSY, CORE, Budget, Given, Need, NoPage, Role, Slope, cost, figures, latest,
                                    of_role, over, passed_at, ranked, ranking, tables, where, worked_out,
                                    written)
-from burlloom.lab.slopes import KEPT, Row, keep, kept, newest
+from burlloom.lab.slopes import Row, keep, newest
 
 ROOT = Path(__file__).parent.parent
 PAGE = ROOT / "docs" / "CAPACITY.md"
@@ -41,7 +42,7 @@
 def test_the_page_has_the_tables_of_the_kept_slopes() -> None:
     """Renewed by `burlloom lab capacity --write`."""
     page = PAGE.read_text(encoding="utf-8")
-    should = written(page, tables(newest(kept(KEPT))))
+    should = written(page, tables(latest()))
     differing = [(a, b) for a, b in zip(page.splitlines(), should.splitlines(), strict=False) if a != b]
     assert not differing, differing[:3]
     assert page == should
@@ -178,6 +179,15 @@
     assert CliRunner().invoke(capacity, [*where_, "--check"]).exit_code == 1
 
 
+def test_the_row_kept_last_counts_wherever_it_stands(tmp_path: Path) -> None:
+    """Branches that both add rows are joined by lines, in an order of the merge."""
+    place = tmp_path / "rows"
+    told = [json.dumps(asdict(replace(LINEAR, at=f"2026-01-0{day}T00:00:00Z", text=f"{day}")))
+            for day in (1, 3, 2)]
+    place.write_text("\n".join(told) + "\n")
+    assert latest(place)["a cpu", "rest", "now"].text == "3"
+
+
 def test_all_rows_can_be_worked_out_without_any_slope() -> None:
     assert len(figures({})) == sum(len(role.needs) for role in module.ROLES)
     assert all(one.need is None or isinstance(one.need, float | int) for one in figures({}))
