--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -1,6 +1,7 @@
-"""What control costs as it grows, by slopes of five sizes or more; see burlloom/lab/slopes.py.
+"""Slopes of what the program costs by size: each command measures some, prints them with their fits and keeps
+them in `benchmarks/slopes.jsonl`.
 
-    python benchmarks/scale.py servers --help
+    python benchmarks/scale.py --help
 """
 
 import sys
@@ -8,18 +9,22 @@
 
 import click
 
-sys.path.insert(0, str(Path(__file__).parent.parent))
-sys.path.insert(0, str(Path(__file__).parent))
+sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
 
-from scale_servers import servers  # noqa: E402
+import scale_configuration  # noqa: E402
+import scale_request  # noqa: E402
+import scale_servers  # noqa: E402
+import scale_table  # noqa: E402
 
 
 @click.group()
-def main() -> None:
-    """Slopes of what control costs. Tables go to stdout, progress to stderr."""
+def scale() -> None:
+    """Costs by size."""
 
 
-main.add_command(servers)
+for command in (scale_configuration.configuration, scale_configuration.routes, scale_request.request,
+                scale_request.during, scale_servers.servers, scale_table.table):
+    scale.add_command(command)
 
 if __name__ == "__main__":
-    main()
+    scale()
