Recovery tests: a retry comes with its own moment, and kept files are awaited

Cause of BadRequest in test_a_lost_record_is_not_taken_for_a_new_one: its retry repeated the first try's `at`, the moment at which a try comes. Where a kill and a new start take more than twice the txn's time, it is rightly refused as read over two expiries late. The second half slept 1.1 s for the kept file to name the second life; on a busy machine it may not by then. The test's own time, both.

Change: each try has its own `at`; the test reads the kept file until it names the record's life, first and second. The same for the retry in test_without_a_record_a_crash_leaves_doubt_and_a_drain_none. What is asserted is the same.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -223,14 +223,19 @@
         return {**told, "retry": "1"}
 
     async def again(told: dict[str, str]) -> Any:
-        return (await rig.balancer()).ask("pay", {**told, "id": fields()["id"]}, b"charge")
+        # A try of its own: it comes now, however long the way back took.
+        return (await rig.balancer()).ask("pay", fields(once=told["once"], retry="1"), b"charge")
+
+    def of_the_record() -> int:
+        kept = read((rig.folder / "kept").read_text()) if (rig.folder / "kept").exists() else None
+        return kept.record_life if isinstance(kept, Kept) else 0
     told = await charge("k1")
-    await until(lambda: (rig.folder / "kept").exists())
+    await until(lambda: of_the_record() == 1)
     await rig.kill()
     await rig.begin()
     await gets(await again(told), b"receipt")
     assert "input=said_same effect=use state=warm" in rig.log()
-    await asyncio.sleep(1.1)
+    await until(lambda: of_the_record() == 2)  # so that a new store's first life is an earlier one
     await rig.kill()
     for path in rig.folder.glob("record.db*"):
         path.unlink()
@@ -252,7 +257,7 @@
     await until(lambda: (rig.folder / "kept").exists())
     await rig.kill()
     await rig.begin()
-    again = {**told, "retry": "1", "id": fields()["id"]}
+    again = fields(once=told["once"], retry="1")
     await fails((await rig.balancer()).ask("pay", again, b"charge"), "Voided")
     assert rig.executor.commands.empty()
     rig.process.send_signal(signal.SIGTERM)
