Slopes by servers: memory, newcomers, releases and their book, discovery, cold starts, agreement

What a plan for 2,600 servers needs beside a member's cost at rest. Views, newcomers, releases and reports are measured at 30, 100, 300, 600, 1000, 1500, 2600 servers; cold starts in whole swarms of real members at 30, 60, 100, 150, 200, 300. All beside other load. Small forms run in tests/test_scale_servers.py: the scripted crowd asks of its member what a swarm does (messages within a tenth), news come to it and end.

--- a/benchmarks/scale_servers.py
+++ b/benchmarks/scale_servers.py
@@ -5,18 +5,35 @@
 members in simulated time.
 """
 
+import asyncio
 import gc
+import socket
+import tempfile
+import time
+import tracemalloc
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from pathlib import Path
+from random import Random
 from statistics import median
 from time import thread_time_ns
 
 import click
+import msgpack
 from rich.console import Console
 from rich.progress import Progress
-from scale_crowd import DEATHS, RESTARTS, Crowd, Tally, members_most
+from rollout_core import World
+from scale_crowd import DEATHS, KEY, RESTARTS, SECOND, START, Crowd, Tally, filled, members_most, terms, words
+from scale_swarms import after_cut, after_deaths, after_restart, metered, swarm_of
 
+from burlloom.fleet import CALL, Fleet, Habits, State, Word
+from burlloom.fleet.deal import Told
+from burlloom.fleet.letters import Kind, Letter, seal, unseal
 from burlloom.lab.slopes import Row, exponent_word, fit, keep
+from burlloom.naming.reports import EVERY, Reports
+from burlloom.rollout import Book, Budget, Member, hand
+from burlloom.rollout.stores import book_of, text_of
+from burlloom.rollout.stores.sqlite import Sqlite
 
 SIZES = (30, 100, 300, 600, 1000, 1500, 2600)
 BUDGETS = {"ms/s": 37.0, "B/s": 9000.0, "MB": 128.0}  # of a server for all of its control
@@ -115,6 +132,211 @@
     }
 
 
+@part("memory", states=("rest",))
+def memory(size: int, state: str) -> Found:
+    """Of views that came in by messages; the mean of three."""
+    def view() -> Fleet:
+        all_of = [Word(*[str(one) if isinstance(one, str) else one for one in msgpack.unpackb(msgpack.packb([*word]))])
+                  for word in words(size)]
+        all_of = [word._replace(state=State(word.state)) for word in all_of]
+        fleet = filled(all_of, 0)
+        fleet.look()
+        fleet.next_name()
+        return fleet
+
+    def dealing(fleet: Fleet) -> None:
+        fleet.dealer.round(START, fleet.present, True)
+        for at, word in enumerate(words(size)):
+            fleet.dealer.report(START, word.name, word.life, at, Told(CALL, CALL, CALL, 1000, 7))
+    gc.collect()
+    tracemalloc.start()
+    views = [view() for _ in range(3)]
+    gc.collect()
+    plain = tracemalloc.get_traced_memory()[0]
+    for fleet in views:
+        dealing(fleet)
+    gc.collect()
+    whole = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    note = "tracemalloc over three members: view, what the dealing sees of it, order of probes; all sizes measured; " + PAST
+    return {Slope("view memory", "MB", state, note): plain / 3e6,
+            Slope("dealer memory", "MB", state, note + "; with an account of each member"): whole / 3e6}
+
+
+@part("newcomer", states=("rest",))
+def newcomer(size: int, state: str) -> Found:
+    """One that knows three addresses, until its view is the crowd's; and one of whom a whole view is asked once."""
+    all_of = words(size)
+    at = size // 2
+    fresh = Fleet(all_of[at], tuple(word.address for word in all_of[:3]), (KEY,), terms(size), Habits(), Random(1), START)
+    crowd = Crowd(size, at, fresh)
+    while fresh.members.digest != crowd.peers[0].digest:
+        crowd.run(0.1)
+        assert crowd.now - START < 300 * SECOND, f"{len(fresh.members.by_name)} of {size} after 300 s"
+    took, tally = (crowd.now - START) / SECOND, crowd.tally
+    host, name, spent, pages, octets = filled(all_of, 0), "", 0, 0, 0
+    while True:
+        data = seal(Letter(Kind.SYNC, all_of[at], 1, (), name), KEY)
+        began = thread_time_ns()
+        host.hear(START, data)
+        spent += thread_time_ns() - began
+        page = host.out.pop()[1]
+        pages, octets, name = pages + 1, octets + len(data) + len(page), unseal(page, (KEY,)).name
+        if not name:
+            break
+    note = "one real newcomer among scripted peers that have the whole view, one way 0.3 to 1.3 ms; all sizes measured; " + PAST
+    return {Slope("newcomer cpu", "ms", state, note + "; until its view is theirs"): tally.cpu_ns / 1e6,
+            Slope("newcomer bytes", "B", state, note + "; sent and received"): float(tally.bytes_sent + tally.bytes_heard),
+            Slope("newcomer time", "s", state, note): took,
+            Slope("host cpu", "ms", state, "a real member of whom a whole view is asked, page by page; " + PAST): spent / 1e6,
+            Slope("host bytes", "B", state, "pages and what asks for them, one whole view; " + PAST): float(octets)}
+
+
+@part("release", states=("rest",))
+def release(size: int, state: str) -> Found:
+    """A release under way, judged and sent out by waves: 25 s of it."""
+    world = World(size, Budget(share=0.1)).settled()
+    idle: list[int] = []
+    rounds: list[int] = []
+    steps, spans, of, step = 0, idle, world.lead.round, hand.Hand.step
+
+    def timed(now: int, book: Book, members: list[Member]) -> Book:
+        nonlocal steps
+        began = thread_time_ns()
+        made = of(now, book, members)
+        spans.append(thread_time_ns() - began)
+        steps += made is not book
+        return made
+
+    def stepped(one: hand.Hand, book: Book) -> Book | None:
+        nonlocal steps
+        steps += 1
+        return step(one, book)
+    world.lead.round = timed  # type: ignore[method-assign,assignment]
+    for _ in range(5):
+        world.second()
+    world.book, spans, steps = world.book.start("v2", (1, 0.1, 0.5, 1.0), False), rounds, 0
+    hand.Hand.step = stepped  # type: ignore[method-assign]
+    try:
+        for _ in range(25):
+            world.second()
+    finally:
+        hand.Hand.step = step  # type: ignore[method-assign]
+    text, spent = text_of(world.book), [0, 0]
+    for _ in range(5):
+        for at, work in enumerate((lambda: text_of(world.book), lambda: book_of(text))):
+            began = thread_time_ns()
+            work()
+            spent[at] += thread_time_ns() - began
+    note = ("the release's core on a clock of its own, a tenth of the fleet out at most, waves of 1, 10%, 50%, 100%, 25 s from its start;"
+            " all sizes measured")
+    cost = sum(rounds) / len(rounds) / 1e6
+    swap, tell = asyncio.run(stored(world.book, list(world.members.values())[:50]))
+    store = "SQLite on this machine's disk, processor time of the process; PostgreSQL not measured; all sizes measured"
+    return {
+        Slope("release round cpu", "ms", state, note): cost,
+        Slope("release idle round cpu", "ms", state, note + "; before it began"): sum(idle) / len(idle) / 1e6,
+        Slope("release leader cpu", "ms/s", state, note + "; two rounds a second (poll_ms 500), the text of the book written each time"):
+            2 * (cost + spent[0] / 5e6),
+        Slope("book bytes", "B", state, note + "; one row, written whole at each step"): float(len(text)),
+        Slope("book write cpu", "ms", state, note + "; its text alone"): spent[0] / 5e6,
+        Slope("book read cpu", "ms", state, note + "; by each server at each step that it sees"): spent[1] / 5e6,
+        Slope("book steps", "1/s", state, note + "; by who leads and by servers that leave"): steps / 25,
+        Slope("release read bytes", "B/s", state, "arithmetic from book bytes and book steps: each server looks twice a second and reads"
+              " the book whole where it was written since"): min(2.0, steps / 25) * len(text),
+        Slope("store swap cpu", "ms", state, store + "; one step of the book"): swap,
+        Slope("store tell cpu", "ms", state, store + "; one word of a server"): tell,
+        Slope("store statements", "1/s", state, "arithmetic, not measured: a look each 500 ms and a word each second of each server"):
+            3.0 * size,
+    }
+
+
+async def stored(book: Book, members: Sequence[Member]) -> tuple[float, float]:
+    """ms of the process a step of the book, and a word of a server."""
+    with tempfile.TemporaryDirectory() as folder:
+        shelf = Sqlite(Path(folder) / "store")
+        await shelf.open()
+        began = time.process_time_ns()
+        for at in range(10):
+            page = await shelf.read()
+            assert await shelf.swap(page, replace(book, steps=at))
+        swapped = time.process_time_ns()
+        for member in members:
+            await shelf.tell(member)
+        told = time.process_time_ns()
+        await shelf.close()
+    return (swapped - began) / 10e6, (told - swapped) / 1e6 / len(members)
+
+
+@part("discovery", states=("rest",))
+def discovery(size: int, state: str) -> Found:
+    """Each server's reports of one second, as they come to a socket on loopback."""
+    heard = octets = spent = 0
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as service:
+        service.bind(("127.0.0.1", 0))
+        service.setblocking(False)
+        for word in words(size):
+            reports = Reports(service.getsockname(), word.name)
+            reports.said = True
+            for _ in range(SECOND // EVERY):
+                began = thread_time_ns()
+                reports.report()
+                spent += thread_time_ns() - began
+            reports.sock.close()
+            for _ in range(SECOND // EVERY):
+                octets += len(service.recv(2048))
+                heard += 1
+    note = "real reports over loopback, five a second from each; the name service itself is the platform's and not measured"
+    return {Slope("discovery bytes", "B/s", state, note + "; a server sends"): octets / size,
+            Slope("discovery messages", "1/s", state, note + "; a server sends"): heard / size,
+            Slope("discovery cpu", "ms/s", state, note + "; of a server"): spent / size / 1e6,
+            Slope("name service bytes", "B/s", state, note + "; from all"): float(octets),
+            Slope("name service messages", "1/s", state, note + "; from all"): float(heard)}
+
+
+RACK, ZONES, REGIONS, CUT = 40, 14, 6, 30.0
+SWARM = "whole swarm of real members in simulated time, a tick each 100 ms, one way 0.3 to 1.3 ms, no loss, default terms; "
+
+
+@part("agree", (30, 60, 100, 150, 200, 250, 300), ("rest",))
+def agree(size: int, state: str) -> Found:
+    """Each fault alone, from a fleet that agrees."""
+    note = SWARM + "sizes to 300 measured, past that extrapolated"
+    found: Found = {}
+
+    def put(name: str, said: str, seconds: float) -> None:
+        found[Slope(name, "s", state, f"{note}; {said}")] = seconds
+    with swarm_of(size, terms(size)) as swarm:
+        bodies = swarm.up()
+        deaths = [after_deaths(swarm, [body]) for body in bodies[5:8]]
+        put("agree after death", "mean of three", sum(took for took, _ in deaths) / 3)
+        put("agree after restart", "mean of three; from its start, 2 s after it left",
+            sum(after_restart(swarm, body) for body in bodies[8:11]) / 3)
+        if size >= 100:
+            put("agree after rack", f"{RACK} servers at once, sizes from 100", after_deaths(swarm, bodies[-RACK:])[0])
+        took, back = after_deaths(swarm, bodies[-max(1, size // ZONES):])
+        put("agree after zone", "a fourteenth at once", took)
+        put("agree after zone's return", "a fourteenth started at once", back)
+        took, back = after_cut(swarm, bodies[-size // REGIONS:], CUT)
+        put("agree after region's cut", "a sixth; each side with itself", took)
+        put("agree after region's healing", f"a sixth, {CUT:.0f} s after the cut", back)
+    return found
+
+
+@part("cold", (30, 60, 100, 150, 200, 300), ("cold",))
+def cold(size: int, state: str) -> Found:
+    with metered() as spent, swarm_of(size, terms(size), cold=True) as swarm:
+        took = swarm.until(swarm.agreed)
+        plain = sorted(cost for name, cost in spent.items() if int(name[1:]) > 2)
+        net, note = swarm.net, SWARM + "all start at once knowing three addresses, until all agree; sizes to 300 measured, past that extrapolated"
+        return {Slope("agree after cold start", "s", state, note): took,
+                Slope("cold start cpu", "ms", state, note + "; the median of plain members"): median(plain) / 1e6,
+                Slope("cold start bytes", "B", state, note + "; sent, the mean of all"): net.bytes / size,
+                Slope("member cpu", "ms/s", state, note + "; the median of plain members"): median(plain) / 1e6 / took,
+                Slope("member bytes", "B/s", state, note + "; sent and received, the mean of all"): 2 * net.bytes / size / took,
+                Slope("dealer cpu", "ms/s", state, note + "; the one that lived longest by name, a seed too"): spent["n0"] / 1e6 / took}
+
+
 def passed(row: Row) -> str:
     """The size at which the budget is passed, by the fit."""
     budget, found = BUDGETS.get(row.unit, 0.0), fit(row.sizes, row.values)
@@ -137,15 +359,15 @@
     for state in may:
         if states and state not in states:
             continue
-        found: dict[tuple[str, str], tuple[Slope, list[float]]] = {}
+        found: dict[tuple[str, str], tuple[Slope, dict[int, float]]] = {}
         for size in taken:
             step(f"{name}, {state}, {size} servers")
             with members_most(size):
                 for slope, value in what(size, state).items():
-                    found.setdefault((slope.name, slope.unit), (slope, []))[1].append(value)
+                    found.setdefault((slope.name, slope.unit), (slope, {}))[1][size] = value
         command = f"python benchmarks/scale.py servers --part {name} --state {state}" + (
             f" --sizes {','.join(map(str, taken))}" if taken != own else "")
-        rows += [Row(slope.name, "servers", slope.unit, slope.state, tuple(map(float, taken)), tuple(values), command,
+        rows += [Row(slope.name, "servers", slope.unit, slope.state, tuple(map(float, values)), tuple(values.values()), command,
                      f"{slope.note}; a million squares took {speed:.0f} ms of a core before it", side) for slope, values in found.values()]
     return rows
 
--- /dev/null
+++ b/benchmarks/scale_swarms.py
@@ -0,0 +1,114 @@
+"""Whole swarms of real members in simulated time: how long until all agree, and what a start of all at once costs."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from time import thread_time_ns
+from typing import Any
+
+import burlloom.fleet.fleet as whole
+from burlloom.lab.clock import simulated
+from burlloom.lab.fleets import Body, Net, Swarm
+
+MOST = 180.0  # s of simulated time, in which all agree or never
+
+
+class Agreeing(Swarm):
+    """`agreed` once a look, over hundreds of members: what a view shows is worked out anew only where it changed."""
+
+    shown: dict[str, tuple[object, int, frozenset[str]]]
+
+    def agreed(self) -> bool:
+        self.shown = getattr(self, "shown", {})
+        up = self.up()
+        names = frozenset(body.name for body in up)
+        return all(self.names_of(body) == names for body in up)
+
+    def names_of(self, body: Body) -> frozenset[str]:
+        fleet = body.fleet
+        assert fleet is not None
+        known = self.shown.get(body.name)
+        if known is None or known[0] is not fleet or known[1] != fleet.members.version:
+            names = frozenset(member.word.name for member in fleet.members.there())
+            known = self.shown[body.name] = fleet, fleet.members.version, names
+        return known[2]
+
+    def until(self, test: Callable[[], bool]) -> float:
+        """Seconds until it holds."""
+        began = self.loop.now
+        while not test():
+            if self.loop.now - began > MOST:
+                raise AssertionError(f"{len(self.bodies)} servers: not within {MOST} s")
+            self.run(0.1)
+        return self.loop.now - began
+
+
+@contextmanager
+def swarm_of(size: int, terms: Any, cold: bool = False) -> Iterator[Agreeing]:
+    """All started; unless `cold`, each has the whole view already, taken in without messages."""
+    with simulated() as loop:
+        swarm = Agreeing(loop, Net(loop, 1), terms)
+        swarm.add(size, 4.0)
+        if not cold:
+            words = [body.fleet.own for body in swarm.up() if body.fleet is not None]
+            for body in swarm.up():
+                assert body.fleet is not None
+                for word in words:
+                    body.fleet.members.said(swarm.now(), word)
+                body.fleet.members.moves = []
+            swarm.run(6)
+        yield swarm
+
+
+def after_deaths(swarm: Agreeing, bodies: list[Body]) -> tuple[float, float]:
+    """Until all that are left agree, and then until all agree with these started again."""
+    for body in bodies:
+        swarm.kill(body)
+    took = swarm.until(swarm.agreed)
+    for body in bodies:
+        swarm.start(body)
+    back = swarm.until(swarm.agreed)
+    swarm.run(3)
+    return took, back
+
+
+def after_restart(swarm: Agreeing, body: Body) -> float:
+    """It leaves, and is started again 2 s later: from then until all agree."""
+    swarm.leave(body)
+    swarm.run(2)
+    swarm.start(body)
+    took = swarm.until(swarm.agreed)
+    swarm.run(3)
+    return took
+
+
+def after_cut(swarm: Agreeing, part: list[Body], seconds: float) -> tuple[float, float]:
+    """Until both sides agree each with itself; and from the healing until all agree."""
+    up = swarm.up()
+    inside = {body.name for body in part}
+    sides = [frozenset(inside), frozenset(body.name for body in up if body.name not in inside)]
+    swarm.shown = {}
+    swarm.net.cut([body.address for body in part], [body.address for body in up if body.name not in inside])
+    began = swarm.loop.now
+    took = swarm.until(lambda: all(swarm.names_of(body) == sides[body.name not in inside] for body in up))
+    swarm.run(max(0.0, seconds - (swarm.loop.now - began)))
+    swarm.net.heal()
+    return took, swarm.until(swarm.agreed)
+
+
+@contextmanager
+def metered() -> Iterator[dict[str, int]]:
+    """Processor time of each member by its name, ns."""
+    spent: dict[str, int] = {}
+    tick, hear = whole.Fleet.tick, whole.Fleet.hear
+
+    def timed(of: Callable[..., None]) -> Callable[..., None]:
+        def call(fleet: whole.Fleet, *told: Any) -> None:
+            began = thread_time_ns()
+            of(fleet, *told)
+            spent[fleet.own.name] = spent.get(fleet.own.name, 0) + thread_time_ns() - began
+        return call
+    whole.Fleet.tick, whole.Fleet.hear = timed(tick), timed(hear)  # type: ignore[method-assign]
+    try:
+        yield spent
+    finally:
+        whole.Fleet.tick, whole.Fleet.hear = tick, hear  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/test_scale_servers.py
@@ -0,0 +1,110 @@
+"""The slopes by servers, in their small form: what a scripted crowd asks of its one real member is what a swarm of real ones
+does, and each part gives all of its slopes."""
+
+import pytest
+import rig  # noqa: F401  (finds benchmarks/)
+from click.testing import CliRunner
+from scale import main
+from scale_crowd import START, Crowd, filled, members_most, terms, words
+from scale_servers import PARTS, Slope, measured, passed
+from scale_swarms import after_deaths, swarm_of
+
+import burlloom.fleet.fleet as whole
+from burlloom.fleet import State
+from burlloom.lab.slopes import Row
+
+
+def test_a_crowd_asks_of_a_member_what_a_swarm_does() -> None:
+    """Messages and bytes a second at rest, of one among thirty."""
+    crowd = Crowd(30, 15)
+    crowd.run(5)
+    before = crowd.tally.sent, crowd.tally.bytes_sent
+    crowd.run(30)
+    with swarm_of(30, terms(30)) as swarm:
+        sent, octets = swarm.net.sent, swarm.net.bytes
+        swarm.run(30)
+        # One of thirty deals: what it grants the others counts with theirs.
+        each = (swarm.net.sent - sent - 29 * 5 * 30) / 30 / 30
+        assert (crowd.tally.sent - before[0]) / 30 == pytest.approx(each, rel=0.1)
+        assert crowd.tally.bytes_sent - before[1] < (swarm.net.bytes - octets) / 30 < 2 * (crowd.tally.bytes_sent - before[1])
+    members = crowd.fleet.members
+    assert len(members.there()) == 30 and not crowd.fleet.counts.suspected and not crowd.fleet.counts.unreadable
+
+
+def test_one_that_deals_deals_to_its_crowd() -> None:
+    crowd = Crowd(30, 0)
+    crowd.run(8)
+    shares = [peer.share for peer in crowd.peers[1:]]
+    assert crowd.fleet.dealer.phase.name == "DEALING" and sum(shares) + crowd.fleet.share == pytest.approx(terms(30).total, rel=0.01)
+    assert min(shares) >= 3000
+
+
+@pytest.mark.parametrize("at", [0, 20])
+def test_news_of_the_crowd_come_to_the_member_and_end(at: int) -> None:
+    """Who leaves, comes back or dies: the member and all peers come to one view, and then nobody reads views any more."""
+    crowd = Crowd(40, at, churn=1e-9)
+    crowd.run(4)
+    left, dead = crowd.peers[10], crowd.peers[11]
+    crowd.leaves(left)
+    crowd.dies(dead)
+    crowd.later(2_000_000_000, crowd.comes, left)
+    crowd.run(20)
+    view = crowd.fleet.members
+    assert view.by_name["n10"].word == left.word and view.by_name["n10"].state is State.ALIVE
+    assert view.by_name["n11"].state is State.DEAD
+    assert {peer.digest for peer in crowd.peers if peer.up and peer.at != at} == {view.digest}
+    crowd.tally.kinds.clear()
+    crowd.run(5)
+    assert not crowd.tally.kinds.keys() & {"SYNC", "PAGE"} and crowd.tally.kinds.keys() & {"PING", "ACK"}
+
+
+def test_a_swarm_begins_agreed_and_agrees_after_a_death() -> None:
+    with swarm_of(12, terms(12)) as swarm:
+        assert swarm.agreed()
+        took, back = after_deaths(swarm, swarm.up()[4:5])
+        assert 2 < took < 12 and 0 < back < 5
+
+
+def test_the_bound_of_a_view_is_raised_for_the_benchmark_alone() -> None:
+    with members_most(1200):
+        assert whole.MEMBERS_MOST == 1200
+        assert len(filled(words(1200), 3).members.by_name) == 1200
+    assert whole.MEMBERS_MOST == 1000
+    assert words(2600)[-1].life < START // 1_000_000
+
+
+SLOPES = {
+    "member": {"member cpu", "member bytes", "member bytes sent", "member bytes received", "member messages sent",
+               "member messages received"},
+    "dealer": {"dealer cpu", "dealer bytes", "dealer messages"},
+    "memory": {"view memory", "dealer memory"},
+    "newcomer": {"newcomer cpu", "newcomer bytes", "newcomer time", "host cpu", "host bytes"},
+    "release": {"release round cpu", "release idle round cpu", "release leader cpu", "book bytes", "book write cpu", "book read cpu",
+                "book steps", "release read bytes", "store swap cpu", "store tell cpu", "store statements"},
+    "discovery": {"discovery bytes", "discovery messages", "discovery cpu", "name service bytes", "name service messages"},
+    "cold": {"agree after cold start", "cold start cpu", "cold start bytes", "member cpu", "member bytes", "dealer cpu"},
+}
+
+
+@pytest.mark.parametrize("name", SLOPES)
+def test_each_part_gives_its_slopes(name: str) -> None:
+    work, _, states = PARTS[name]
+    found = work(20, states[0])
+    assert {slope.name for slope in found} == SLOPES[name]
+    assert all(value > 0 for value in found.values()), found
+
+
+def test_rows_have_the_sizes_that_gave_them(monkeypatch: pytest.MonkeyPatch) -> None:
+    def work(size: int, state: str) -> dict[Slope, float]:
+        found = {Slope("a", "ms/s", state, "x"): 2.0 * size}
+        return found | ({Slope("b", "s", state, "y"): 1.0} if size > 20 else {})
+    monkeypatch.setitem(PARTS, "member", (work, (10, 20, 30, 40, 50), ("rest",)))
+    a, b = measured("member", (), (), "now", lambda said: None)
+    assert a.sizes == (10, 20, 30, 40, 50) and a.values == (20, 40, 60, 80, 100) and b.sizes == (30, 40, 50)
+    assert passed(a) == "19" and a.command == "python benchmarks/scale.py servers --part member --state rest"
+    assert passed(Row("c", "servers", "1/s", "rest", a.sizes, a.values, "", "")) == "-"
+
+
+def test_the_command_prints_a_table() -> None:
+    told = CliRunner().invoke(main, ["servers", "--part", "discovery", "--sizes", "30,100"])
+    assert told.exit_code == 0 and "| discovery bytes | rest | B/s |" in told.output
