Members keep what they walked the view for: a turn at rest and a page cost the same at any size

Cause: each round looked through all members for whose time is over, each probe through all for doors to knock at, and each page of a view sorted all names anew; a view of N names is N / 10 pages, so whoever was asked for one paid the square of the fleet. Change: `Members.put` keeps those that are not alive, addresses of those that are there, and names in order for as long as the view stands. What is decided and sent is the same: equal to plain walks, in their order, over random histories (hypothesis), and pages by every name of three views.

Conclusion: at rest a plain member costs the same in any fleet; under churn whole views are still read for each difference.

--- a/benchmarks/scale_servers.py
+++ b/benchmarks/scale_servers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import gc
+import json
 import socket
 import tempfile
 import time
@@ -26,7 +27,7 @@
 from scale_crowd import DEATHS, KEY, RESTARTS, SECOND, START, Crowd, Tally, filled, members_most, terms, words
 from scale_swarms import after_cut, after_deaths, after_restart, metered, swarm_of
 
-from burlloom.fleet import CALL, Fleet, Habits, State, Word
+from burlloom.fleet import CALL, Fleet, Habits, State, Word, spread, summary
 from burlloom.fleet.deal import Told
 from burlloom.fleet.letters import Kind, Letter, seal, unseal
 from burlloom.lab.slopes import Row, exponent_word, fit, keep
@@ -294,6 +295,26 @@
             Slope("name service messages", "1/s", state, note + "; from all"): float(heard)}
 
 
+SERVICES, SUBSET = 40, 8
+
+
+@part("subset", (30, 100, 300, 600, 1000, 1500), ("rest",))
+def subset(size: int, state: str) -> Found:
+    """What a server works out anew whenever somebody comes or goes, off the loop and on the same core."""
+    names, services = [word.name for word in words(size)], [f"10.0.0.{at}:80" for at in range(SERVICES)]
+    began = thread_time_ns()
+    spread(names, services, SUBSET)
+    took = thread_time_ns() - began
+    fleet = filled(words(size), 1)
+    began = thread_time_ns()
+    json.dumps(summary(fleet, START))
+    told = thread_time_ns() - began
+    note = f"each server at each change of its view, {SERVICES} services below, subsets of {SUBSET}; sizes to 1,500 measured; " + PAST
+    return {Slope("subset cpu", "ms", state, note): took / 1e6,
+            Slope("state file cpu", "ms/s", state, "the text alone, once a second where the operator's file names a state_file; "
+                  + PAST): told / 1e6}
+
+
 RACK, ZONES, REGIONS, CUT = 40, 14, 6, 30.0
 SWARM = "whole swarm of real members in simulated time, a tick each 100 ms, one way 0.3 to 1.3 ms, no loss, default terms; "
 
--- a/burlloom/fleet/fleet.py
+++ b/burlloom/fleet/fleet.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
+from itertools import islice
 from random import Random
 
 from .deal import CALL, MS, Dealer, Present, Terms, Told
@@ -179,7 +180,7 @@
 
     def round(self, now: int, gap: int) -> None:
         members, holder = self.members, self.holder
-        for name, what in due(members, now, self.suspicion(), self.habits.forget):
+        for name, what in due(members.unsettled.values(), now, self.suspicion(), self.habits.forget):
             # Who hears few does not forget: the majority may be on the other side.
             if what is not Input.OLD or self.mostly_there():
                 members.meet(now, name, what)
@@ -281,9 +282,8 @@
         """At the doors of some that are dead, and of addresses where nobody is known: so a cut that heals is
         noticed, and those who were all started anew hear of the ones that lived on before they deal among
         themselves."""
-        known = {member.word.address for member in self.members.there()}
-        dead = [member.word.address for member in self.members if member.state is State.DEAD]
-        doors = [address for address in {*self.seeds, *dead} if address not in known]
+        dead = [member.word.address for member in self.members.unsettled.values() if member.state is State.DEAD]
+        doors = [address for address in {*self.seeds, *dead} if address not in self.members.addresses]
         for door in self.chance.sample(sorted(doors), min(KNOCKS, len(doors))):
             self.number += 1
             self.send(door, Kind.PING, self.number, self.views())
@@ -339,9 +339,11 @@
     def synced_by(self, now: int, letter: Letter) -> None:
         """Those who are over are told of for half the time that they are kept: else views would hand them
         back and forth for ever."""
-        names = sorted(member.word.name for member in self.members if member.word.name > letter.name
-                       and (member.there or now - member.since < self.habits.forget // 2))
-        page = tuple(self.members.by_name[name].word for name in names[:PAGE_WORDS])
+        by_name, recent = self.members.by_name, self.habits.forget // 2
+        told = (name for name in self.members.names_after(letter.name)
+                if by_name[name].there or now - by_name[name].since < recent)
+        names = list(islice(told, PAGE_WORDS + 1))
+        page = tuple(by_name[name].word for name in names[:PAGE_WORDS])
         more = names[PAGE_WORDS - 1] if len(names) > PAGE_WORDS else ""
         self.post(letter.sender.address, Letter(Kind.PAGE, self.own, letter.number, (), more, page))
 
--- a/burlloom/fleet/members.py
+++ b/burlloom/fleet/members.py
@@ -11,6 +11,7 @@
 the larger of the two: so the order in which words come, and how often, does not matter.
 """
 
+from bisect import bisect_right
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from enum import IntEnum
@@ -120,6 +121,10 @@
     def __init__(self, own: Word, now: int) -> None:
         self.own = own
         self.by_name: dict[str, Member] = {}
+        # Kept up by `put`, as a walk of the view at each turn would cost a member the more the larger the fleet.
+        self.unsettled: dict[str, Member] = {}  # all but the ALIVE
+        self.addresses: dict[str, int] = {}  # of those that are there, by how many
+        self.sorted: tuple[int, list[str]] = (-1, [])  # names, and the version that they are of
         self.digest = 0  # equal where two views are
         self.version = 0  # counts changes
         self.put(own.name, Member(own, now))
@@ -127,11 +132,24 @@
 
     def put(self, name: str, member: Member | None) -> None:
         self.version += 1
-        if name in self.by_name:
-            self.digest ^= hash_of(self.by_name.pop(name).word)
+        before = self.by_name.pop(name, None)
+        if before is not None:
+            self.digest ^= hash_of(before.word)
+            self.unsettled.pop(name, None)
+            if before.there:
+                self.at(before.word.address, -1)
         if member is not None:
             self.by_name[name] = member
             self.digest ^= hash_of(member.word)
+            if member.state is not State.ALIVE:
+                self.unsettled[name] = member
+            if member.there:
+                self.at(member.word.address, 1)
+
+    def at(self, address: str, more: int) -> None:
+        count = self.addresses.pop(address, 0) + more
+        if count:
+            self.addresses[address] = count
 
     def __iter__(self) -> Iterator[Member]:
         return iter(self.by_name.values())
@@ -199,6 +217,14 @@
                 total ^= hash_of(member.word._replace(incarnation=0, state=State.ALIVE))
         return total >> 1
 
+    def names_after(self, name: str) -> Iterator[str]:
+        """In their order."""
+        if self.sorted[0] != self.version:
+            self.sorted = self.version, sorted(self.by_name)
+        names = self.sorted[1]
+        for place in range(bisect_right(names, name), len(names)):
+            yield names[place]
+
     def there(self) -> list[Member]:
         return [member for member in self if member.there]
 
--- /dev/null
+++ b/tests/test_fleet_walks.py
@@ -0,0 +1,114 @@
+"""What a member's view keeps beside its members equals a plain walk in any history, and neither a turn nor a page of the view
+costs more the larger the fleet."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_fleet_sums import steps_of
+
+from burlloom.fleet import Fleet, Habits, State, Terms, Word
+from burlloom.fleet.deal import CALL, MS
+from burlloom.fleet.fleet import PAGE_WORDS
+from burlloom.fleet.letters import Kind, Letter, seal, unseal
+from burlloom.fleet.members import Input, Members, due
+
+KEY, NOW = b"the test's own key", 10**13
+NAMES = ["a", "b", "c", "d", "own"]
+STATES = (State.ALIVE, State.SUSPECT, State.DEAD, State.LEFT)
+WORDS = st.builds(Word, st.sampled_from(NAMES), st.sampled_from(["10.0.0.1:1", "10.0.0.2:1"]), st.integers(1, 3), st.integers(0, 2),
+                  st.sampled_from(STATES))
+STEPS = st.one_of(st.tuples(st.just("said"), WORDS), st.tuples(st.just("silent"), st.sampled_from(NAMES[:4])),
+                  st.tuples(st.just("round"), st.integers(0, 4000)), st.tuples(st.just("leave"), st.none()))
+
+
+@settings(max_examples=500, deadline=None)
+@given(st.lists(STEPS, max_size=50))
+def test_what_a_view_keeps_equals_a_plain_walk(steps: list[tuple[str, object]]) -> None:
+    view, now = Members(Word("own", "10.0.0.9:1", 2, 0, State.ALIVE), NOW), NOW
+    for what, told in steps:
+        if what == "said" and isinstance(told, Word):
+            view.said(now, told)
+        elif what == "silent":
+            view.meet(now, str(told), Input.SILENT)
+        elif what == "round" and isinstance(told, int):
+            now += told * MS
+            found = due(view, now, 2000 * MS, 5000 * MS)
+            assert due(view.unsettled.values(), now, 2000 * MS, 5000 * MS) == found
+            for name, input in found:
+                view.meet(now, name, input)
+        else:
+            view.leave(now)
+        assert list(view.unsettled.items()) == [(name, member) for name, member in view.by_name.items()
+                                                if member.state is not State.ALIVE]
+        assert view.addresses == Counter(member.word.address for member in view if member.there)
+        for after in ("", "a", "bb", "own", "z"):
+            assert list(view.names_after(after)) == sorted(name for name in view.by_name if name > after)
+
+
+def fleet_of(size: int) -> Fleet:
+    all_of = [Word(f"n{at}", f"10.1.{at // 200}.{at % 200 + 1}:7946", 1 + at, 0, State.ALIVE) for at in range(size)]
+    fleet = Fleet(all_of[size // 2], (all_of[0].address, "10.9.9.9:7946"), (KEY,), Terms(4 * size * CALL), Habits(), Random(1), NOW)
+    for word in all_of:
+        fleet.members.said(NOW, word)
+    fleet.members.moves = []
+    return fleet
+
+
+def asked(fleet: Fleet, now: int, after: str) -> Letter:
+    fleet.hear(now, seal(Letter(Kind.SYNC, fleet.members.by_name["n0"].word, 1, (), after), KEY))
+    return unseal(fleet.out.pop()[1], (KEY,))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_pages_are_those_of_a_plain_walk(seed: int) -> None:
+    """Some are over, for long or not; any name may be asked after."""
+    chance, fleet, now = Random(seed), fleet_of(60), NOW
+    for name in chance.sample(sorted(fleet.members.by_name), 30):
+        if name not in ("n0", fleet.own.name):
+            now += chance.choice([0, 60_000]) * MS
+            state = chance.choice(STATES[1:])
+            fleet.members.said(now, fleet.members.by_name[name].word._replace(state=state))
+    now += 1_200_000 * MS
+    seen = set()
+    for after in ["", *sorted(fleet.members.by_name), "zz"]:
+        names = sorted(member.word.name for member in fleet.members if member.word.name > after
+                       and (member.there or now - member.since < fleet.habits.forget // 2))
+        page = asked(fleet, now, after)
+        assert [word.name for word in page.words] == names[:PAGE_WORDS]
+        assert page.name == (names[PAGE_WORDS - 1] if len(names) > PAGE_WORDS else "")
+        seen |= set(names)
+    assert 30 < len(seen) < 60
+
+
+def turns(size: int) -> int:
+    """Instructions of a second's ticks at rest, between two new orders of probes."""
+    fleet, now = fleet_of(size), NOW
+    for _ in range(40):  # so many that the orders of probes and the view of the dealing are made
+        now += 50 * MS
+        fleet.tick(now)
+        if fleet.probe is not None:
+            fleet.probe = None  # as if it had answered
+        fleet.out.clear()
+    steps = 0
+    for _ in range(20):
+        now += 50 * MS
+        steps += steps_of(lambda: fleet.tick(now))
+        fleet.probe = None
+        fleet.out.clear()
+    return steps
+
+
+def test_a_turn_at_rest_does_not_grow_with_the_fleet() -> None:
+    small, large = turns(200), turns(1000)
+    assert large <= 1.1 * small, (small, large)
+
+
+def test_a_page_does_not_grow_with_the_fleet() -> None:
+    def page(size: int) -> int:
+        fleet = fleet_of(size)
+        asked(fleet, NOW, "")
+        return steps_of(lambda: asked(fleet, NOW, "n1"))
+    assert page(900) <= 1.1 * page(100)
--- a/tests/test_scale_servers.py
+++ b/tests/test_scale_servers.py
@@ -82,6 +82,7 @@
     "release": {"release round cpu", "release idle round cpu", "release leader cpu", "book bytes", "book write cpu", "book read cpu",
                 "book steps", "release read bytes", "store swap cpu", "store tell cpu", "store statements"},
     "discovery": {"discovery bytes", "discovery messages", "discovery cpu", "name service bytes", "name service messages"},
+    "subset": {"subset cpu", "state file cpu"},
     "cold": {"agree after cold start", "cold start cpu", "cold start bytes", "member cpu", "member bytes", "dealer cpu"},
 }
 
