Benchmark of requests while a member deals or rejoins: hollow members beside a real server

Change: benchmarks/hollow_members.py (the real core and letters on loopback, without a serving part), `scale.py deal` and `scale.py during rejoin`.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -79,12 +79,17 @@
     return keep(row, place) if place is not None else row
 
 
-def numbers(_: click.Context, __: click.Parameter, value: str) -> tuple[int, ...]:
-    """An option with several whole numbers, as `10000,30000`."""
+def whole(text: str) -> tuple[int, ...]:
+    """Several whole numbers, as `10000,30000`."""
     try:
-        found = tuple(sorted({int(one) for one in value.split(",")}))
+        found = tuple(sorted({int(one) for one in text.split(",")}))
     except ValueError:
-        raise click.BadParameter(f"{value!r} is no list of whole numbers") from None
+        raise click.BadParameter(f"{text!r} is no list of whole numbers") from None
     if min(found) < 1:
         raise click.BadParameter("sizes are over 0")
     return found
+
+
+def numbers(_: click.Context, __: click.Parameter, value: str) -> tuple[int, ...]:
+    """An option of several whole numbers."""
+    return whole(value)
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -24,6 +24,7 @@
 scale.add_command(scale_configuration.routes)
 scale.add_command(scale_request.request)
 scale.add_command(scale_request.during)
+scale.add_command(scale_request.deal)
 
 if __name__ == "__main__":
     scale()
--- a/benchmarks/scale_request.py
+++ b/benchmarks/scale_request.py
@@ -5,7 +5,7 @@
     python benchmarks/scale.py request --harness          # no server: what generator and loopback add by themselves
     python benchmarks/scale.py during reload              # p99 and the longest answer around a change, by tenants
     python benchmarks/scale.py during rejoin              # around a rejoin of the member, by members
-    python benchmarks/scale.py during deal                # while it deals, by members
+    python benchmarks/scale.py deal                       # while it deals, by members; --plain: while another does
 
 Open loop: Poisson arrivals from a seed, latency from the intended moment, in an HDR histogram. Latency wants a machine at
 rest: each line says its load, and a row from a busy machine says so. Processor time counts then too.
@@ -13,15 +13,17 @@
 
 import asyncio
 import os
+import re
+import signal
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, Protocol
 
 import click
 import uvloop
@@ -29,7 +31,8 @@
 
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent / "tests")]
 
-from processes import ADDED_MS, TOLD, machine, main_thread_ns, numbers, passed_at, quiet, told  # noqa: E402
+from hollow_members import HOUR_MS, hollow, part_of  # noqa: E402
+from processes import ADDED_MS, TOLD, machine, main_thread_ns, numbers, passed_at, quiet, told, whole  # noqa: E402
 from rig import Rig  # noqa: E402
 from scale_configuration import tenants  # noqa: E402
 from traffic import SECOND, Load, Runs, Sent, Told, below, echo, generate, started, told_of  # noqa: E402
@@ -38,7 +41,6 @@
 
 RATES = "50,100,200,300,500,700,1000"
 SETTLE = 1.0  # s of idleness, connections open, against which processor time is told
-Events = Callable[[Rig, int], Awaitable[list[int]]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,9 +58,19 @@
     moments: list[int]  # of events
 
 
-async def played(load: Load, events: Events | None = None, prepare: Callable[[Rig], Any] | None = None) -> Played:
-    """One real server between stand-ins, under a load. `events`: does things meanwhile, told when the count begins; gives
-    their moments."""
+class Happening(Protocol):
+    """What is done to a server under load."""
+
+    def prepare(self, rig: Rig) -> None:
+        """Before it starts."""
+    async def ready(self, rig: Rig) -> None:
+        """Before the load."""
+    async def happens(self, rig: Rig, first: int) -> list[int]:
+        """Told when the count begins; gives the moments."""
+
+
+async def played(load: Load, what: Happening | None = None) -> Played:
+    """One real server between stand-ins, under a load."""
     async with AsyncExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         told_calls = None
@@ -67,13 +79,16 @@
             calls, told_calls = started(below, load.call)
             stack.callback(calls.kill)
             catalogue = SimpleNamespace(address=await asyncio.to_thread(told_calls.recv))
-        rig = Rig(folder, n_cores=32, memory_kb=400000, calls_out=500.0, drain_grace=0, stop_ms=1500, catalogue=catalogue)
+        rig = Rig(folder, n_cores=32, memory_kb=400000, calls_out=500.0, drain_grace=0, stop_ms=1500,
+                  catalogue=catalogue)
         runs = Runs(rig.executor, load)
         rig.executor.commands = runs  # type: ignore[assignment]
-        if prepare is not None:
-            prepare(rig)
+        if what is not None:
+            what.prepare(rig)
         await stack.enter_async_context(rig)
         pid = rig.process.pid
+        if what is not None:
+            await what.ready(rig)
         generator, pipe = started(generate, rig.address, load)
         stack.callback(generator.kill)
         await asyncio.to_thread(pipe.recv)
@@ -84,7 +99,7 @@
         pipe.send(begin)
         first, last = begin + int(load.warm * SECOND), begin + int((load.warm + load.seconds) * SECOND)
         await rest(first)
-        happening = asyncio.create_task(events(rig, first)) if events is not None else None
+        happening = asyncio.create_task(what.happens(rig, first)) if what is not None else None
         before, since = main_thread_ns(pid), time.monotonic_ns()
         loads = [os.getloadavg()[0]]
         await rest(last)
@@ -167,13 +182,12 @@
     if bare:
         row("request p99 harness", "ms", [one.p99 for one in found], "from the intended moment, with no server between")
         return
-    busy = "" if all(play.quiet for play in plays) else "BUSY machine, which counts for nothing; "
     row(f"request cpu{kind}", "ms", [play.cpu for play in plays],
         "processor time of the loop's thread a request, less what it takes at rest")
-    about = (f"{busy}from the intended moment, less what the stand-ins had the request; reading of commands by the stand-ins"
+    about = (f"{busy(plays)}from the intended moment, less what the stand-ins had the request; reading of commands by the stand-ins"
              f" and the generator's own lateness (p99 {max(one.late_p99 for one in found):.2f} ms at most) are in it;"
              f" load of each {', '.join(f'{play.load:.1f}' for play in plays)}; not settled: "
-             f"{', '.join(str(sum(n for how, n in one.how.items() if how != 'settled')) for one in found)}")
+             f"{unsettled(found)}")
     row(f"request p50 added{kind}", "ms", [one.p50 for one in found], about)
     row(f"request p99 added{kind}", "ms", [one.p99 for one in found], about)
     ends = passed_at(rates, [one.p99 for one in found], ADDED_MS, 1e5)
@@ -188,6 +202,10 @@
 
 BEFORE, AFTER = SECOND // 4, SECOND * 3 // 4  # around a moment
 APART = 2 * SECOND  # from a moment to one without anything
+SETTLED = 2.5  # s from the beginning to the first moment
+CUT = 6.0  # s: until the others have buried who is cut off
+HOLLOW_MOST = 100  # members in one process
+TENANTS, MEMBERS = "10000,30000,100000,200000,430000", "10,30,100,200,300"
 
 
 def windows(play: Played, moments: Sequence[int]) -> Told:
@@ -195,54 +213,203 @@
     return told_of([one for one in play.sent if any(at - BEFORE <= one.intended < at + AFTER for at in moments)], play.own)
 
 
-async def reloads(rig: Rig, first: int, times: int, gap: float) -> list[int]:
-    import signal
-    found = []
-    for turn in range(times):
-        await rest(first + int((2.5 + turn * gap) * SECOND))
-        found.append(time.monotonic_ns())
-        rig.process.send_signal(signal.SIGHUP)
-    return found
+class Reloads:
+    """The server reads its file anew, `times` times, `gap` s apart."""
+
+    by = "tenants"
+
+    def __init__(self, count: int, times: int, gap: float) -> None:
+        self.count, self.times, self.gap = count, times, gap
+        self.seconds = SETTLED + times * gap
+        self.beside = APART  # before each moment nothing happens
+
+    async def __aenter__(self) -> "Reloads":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        pass
+
+    def prepare(self, rig: Rig) -> None:
+        rig.told["settings"]["tenants"] = tenants(self.count)
+
+    async def ready(self, rig: Rig) -> None:
+        pass
+
+    async def happens(self, rig: Rig, first: int) -> list[int]:
+        found = []
+        for turn in range(self.times):
+            await rest(first + int((SETTLED + turn * self.gap) * SECOND))
+            found.append(time.monotonic_ns())
+            rig.process.send_signal(signal.SIGHUP)
+        return found
+
+
+class Members(Reloads):
+    """The server is one of `count` members, all others hollow. `deals`: by its life it is the one that deals."""
+
+    by = "members"
+
+    def __init__(self, count: int, times: int, gap: float, deals: bool = False) -> None:
+        super().__init__(count, times, gap)
+        self.deals = deals
+        self.processes: list[tuple[Any, Any]] = []
+
+    async def __aenter__(self) -> "Members":
+        self.folder = tempfile.TemporaryDirectory()
+        folder = Path(self.folder.name)
+        life = time.time_ns() // 1_000_000 + (HOUR_MS if self.deals else -HOUR_MS)
+        names = [f"h{at:04d}" for at in range(self.count - 1)]
+        for at in range(0, len(names), HOLLOW_MOST):
+            self.processes.append(started(hollow, names[at:at + HOLLOW_MOST], life + at, part_of(folder, self.count, [])))
+        told_all = [one for _, pipe in self.processes for one in await asyncio.to_thread(pipe.recv)]
+        for _, pipe in self.processes:
+            pipe.send(told_all)
+            assert await asyncio.to_thread(pipe.recv) == "up"
+        self.part = part_of(folder, self.count, [address for _, address, _ in told_all[:4]])
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for process, pipe in self.processes:
+            process.kill()
+            process.join(10)
+            pipe.close()
+        self.folder.cleanup()
+
+    def prepare(self, rig: Rig) -> None:
+        rig.operator = {"fleet": self.part}
+
+    def tell(self, *words: str) -> None:
+        for _, pipe in self.processes:
+            pipe.send(words)
+
+    async def ready(self, rig: Rig) -> None:
+        """Until it knows all and all know it, and who deals."""
+        self.tell("real", re.findall(r"event=fleet-open .* address=(\S+)", rig.log())[-1])
+        async with asyncio.timeout(60):
+            while not await self.agreed(rig.name):
+                await asyncio.sleep(0.2)
+            while rig.log().count("event=member ") < self.count - 1:
+                await asyncio.sleep(0.2)
+
+    async def seen(self) -> list[tuple[str, int]]:
+        """By each hollow member: who deals, and how many are there."""
+        self.tell("see")
+        return [one for _, pipe in self.processes for one in await asyncio.to_thread(pipe.recv)]
+
+    async def agreed(self, name: str) -> bool:
+        return all((dealt_by == name) is self.deals and there == self.count for dealt_by, there in await self.seen())
+
+
+class Rejoins(Members):
+    """It is cut off for so long that it is taken for dead, and healed: that is the moment."""
+
+    def __init__(self, count: int, times: int, gap: float) -> None:
+        super().__init__(count, times, gap)
+        self.beside = int((CUT + 1) * SECOND)  # before the cut
+        self.seconds = SETTLED + times * (CUT + gap)
+        self.buried: list[float] = []  # share of the others to whom it was gone when it was healed
+
+    async def happens(self, rig: Rig, first: int) -> list[int]:
+        found = []
+        for turn in range(self.times):
+            await rest(first + int((SETTLED + turn * (CUT + self.gap)) * SECOND))
+            self.tell("cut")
+            await asyncio.sleep(CUT)
+            self.buried.append(sum(there < self.count for _, there in await self.seen()) / (self.count - 1))
+            found.append(time.monotonic_ns())
+            self.tell("heal")
+        return found
+
+
+async def happened(load: Load, what: Reloads) -> Played:
+    async with what:
+        return await played(replace(load, seconds=what.seconds), what)
 
 
 @click.command()
-@click.argument("what", type=click.Choice(["reload"]))
-@click.option("--sizes", default="", help="Tenants; 10,000 to 430,000 where none are told.")
+@click.argument("what", type=click.Choice(["reload", "rejoin"]))
+@click.option("--sizes", default="", help="Tenants of a reload, members of a rejoin.")
 @click.option("--rate", default=300, show_default=True, type=click.IntRange(1, 5000), help="Requests a second.")
 @click.option("--times", default=3, show_default=True, type=click.IntRange(1, 20), help="That it happens, at each size.")
 @click.option("--gap", default=6.0, show_default=True, type=click.FloatRange(1.5, 60), help="s between them.")
 @common
 def during(what: str, sizes: str, rate: int, times: int, gap: float, seed: int, dry: bool, to: Path) -> None:
     """p99 and the longest answer around what a server does for control, against the same without."""
-    counts = numbers(click.get_current_context(), None, sizes or "10000,30000,100000,200000,430000")  # type: ignore[arg-type]
-    place = None if dry else to
+    kind: type[Reloads] = {"reload": Reloads, "rejoin": Rejoins}[what]
+    counts = whole(sizes or (TENANTS if kind is Reloads else MEMBERS))
     command = (f"python benchmarks/scale.py during {what} --sizes {','.join(map(str, counts))} --rate {rate}"
                f" --times {times} --gap {gap:g} --seed {seed}")
     near: list[Told] = []
     beside: list[Told] = []
     plays: list[Played] = []
+    gone: list[float] = []
     for count in track(counts, what, console=TOLD):
-        load = Load(rate, 2.5 + times * gap, connections=128, seed=seed)
-
-        def prepare(rig: Rig, count: int = count) -> None:
-            rig.told["settings"]["tenants"] = tenants(count)
-        play = uvloop.run(played(load, lambda rig, first: reloads(rig, first, times, gap), prepare))
+        happening = kind(count, times, gap)
+        play = uvloop.run(happened(Load(rate, 0, connections=128, seed=seed), happening))
         plays.append(play)
         near.append(windows(play, play.moments))
-        beside.append(windows(play, [at - APART for at in play.moments]))
+        if isinstance(happening, Rejoins):
+            gone.append(min(happening.buried))
+        beside.append(windows(play, [at - happening.beside for at in play.moments]))
         TOLD.print(f"{count}: load {play.load:.1f}\n  around: {near[-1]}\n  beside: {beside[-1]}")
-    busy = "" if all(play.quiet for play in plays) else "BUSY machine, which counts for nothing; "
-    here = (f"{busy}requests that were to be sent from a quarter of a second before to three quarters after, {times} times at"
-            f" {rate} a second, no calls below; one real server between stand-ins on loopback, {machine()}; load of each"
-            f" {', '.join(f'{play.load:.1f}' for play in plays)}; not settled:"
-            f" {', '.join(str(sum(n for how, n in one.how.items() if how != 'settled')) for one in near)}")
+    here = (f"{busy(plays)}requests that were to be sent from a quarter of a second before to three quarters after, {times}"
+            f" times at {rate} a second, no calls below; {between(plays)}; not settled: {unsettled(near)}"
+            + ("" if kind is Reloads else f"; the other members are hollow, the server was cut off for {CUT:g} s before, and"
+               f" gone to {', '.join(f'{100 * one:.0f}%' for one in gone)} of them when it was healed"))
     for name, values, note in (
         (f"request p99 added in a {what}", [one.p99 for one in near], "added, as without"),
         (f"request longest in a {what}", [one.longest for one in near], "the longest of all answers"),
-        (f"request p99 added beside a {what}", [one.p99 for one in beside], "the same spans two seconds before"),
-        (f"request longest beside a {what}", [one.longest for one in beside], "the same spans two seconds before"),
+        (f"request p99 added beside a {what}", [one.p99 for one in beside], "the same spans, earlier, without"),
+        (f"request longest beside a {what}", [one.longest for one in beside], "the same spans, earlier, without"),
     ):
-        told(Row(name, "tenants", "ms", "churn", tuple(map(float, counts)), tuple(values), command, f"{note}; {here}"), place)
+        told(Row(name, kind.by, "ms", "churn", tuple(map(float, counts)), tuple(values), command, f"{note}; {here}"),
+             None if dry else to)
     first = next((count for count, one in zip(counts, near, strict=True) if one.p99 > ADDED_MS), None)
     click.echo(f"{ADDED_MS} ms added at the 99th percentile around a {what}: first passed of those measured at"
                f" {first or 'none'}")
+
+
+@click.command()
+@click.option("--sizes", default=MEMBERS, show_default=True, callback=numbers, help="Members.")
+@click.option("--rate", default=300, show_default=True, type=click.IntRange(1, 5000), help="Requests a second.")
+@click.option("--seconds", default=8.0, show_default=True, type=click.FloatRange(0.2, 120), help="Of each size.")
+@click.option("--plain", is_flag=True, help="Another deals: the server is a member as all.")
+@common
+def deal(sizes: tuple[int, ...], rate: int, seconds: float, plain: bool, seed: int, dry: bool, to: Path) -> None:
+    """p99 of requests at a server that deals the calls below to all members, or at a plain one."""
+    command = (f"python benchmarks/scale.py deal --sizes {','.join(map(str, sizes))} --rate {rate} --seconds {seconds:g}"
+               f" --seed {seed}" + " --plain" * plain)
+    found: list[Told] = []
+    plays: list[Played] = []
+    for count in track(sizes, "deal", console=TOLD):
+        happening = Members(count, 0, 0.0, deals=not plain)
+        happening.seconds = seconds
+        play = uvloop.run(happened(Load(rate, 0, connections=32, seed=seed), happening))
+        plays.append(play)
+        found.append(told_of(play.sent, play.own, play.begin))
+        TOLD.print(f"{count} members: {play.idle:.1f} ms/s without requests, {play.used:.0f} with; load {play.load:.1f};"
+                   f" {found[-1]}")
+    who = "as a member" if plain else "while it deals"
+    here = (f"{busy(plays)}{rate} requests a second, no calls below; the other members are hollow; {between(plays)};"
+            f" not settled: {unsettled(found)}")
+    for name, unit, values, note in (
+        (f"request p99 added {who}", "ms", [one.p99 for one in found], "added, as without a fleet"),
+        (f"request longest {who}", "ms", [one.longest for one in found], "the longest of all answers"),
+        (f"request idle cpu {who}", "ms/s", [play.idle for play in plays],
+         "processor time of the loop's thread before the first request: the fleet's part and what a server does at rest"),
+    ):
+        told(Row(name, "members", unit, "rest", tuple(map(float, sizes)), tuple(values), command, f"{note}; {here}"),
+             None if dry else to)
+
+
+def busy(plays: list[Played]) -> str:
+    return "" if all(play.quiet for play in plays) else "BUSY machine, latency counts for nothing; "
+
+
+def between(plays: list[Played]) -> str:
+    return (f"one real server between stand-ins on loopback, {machine()}; load of each"
+            f" {', '.join(f'{play.load:.1f}' for play in plays)}")
+
+
+def unsettled(found: list[Told]) -> str:
+    return ", ".join(str(sum(n for how, n in one.how.items() if how != "settled")) for one in found)
