Slopes of processor time a request, with and without calls below; connections of callers

Change: `scale.py callers`; the generator waits on one epoll, so that thousands of connections fit; whether all agree who is there is seen from the views' digests, as the log leaves out lines past 50 a second (the cause of the trial at 100 members that ended by its time-out: 99 members were known to all, 48 lines were written).

--- a/benchmarks/hollow_members.py
+++ b/benchmarks/hollow_members.py
@@ -1,4 +1,4 @@
-"""Members of a fleet without a serving part: the real core and the real letters on loopback, some hundreds in a process."""
+"""Members of a fleet without a serving part: the real core and letters on loopback, some hundreds in a process."""
 
 import asyncio
 import socket
@@ -11,6 +11,7 @@
 import uvloop
 
 from burlloom.fleet import Fleet, State, Word
+from burlloom.fleet.letters import Kind, unseal
 from burlloom.operator.fleet import FleetPart
 
 TICK = 0.05  # s, as the server's
@@ -26,7 +27,8 @@
 
 
 class Hollow:
-    def __init__(self, sock: socket.socket, own: Named, all_of_them: list[Named], part: FleetPart, world: "World") -> None:
+    def __init__(self, sock: socket.socket, own: Named, all_of_them: list[Named], part: FleetPart,
+                 world: "World") -> None:
         self.sock, self.world = sock, world
         word = Word(*own, 0, State.ALIVE)
         now = clock()
@@ -42,9 +44,18 @@
                 data, source = self.sock.recvfrom(65536)
             except BlockingIOError:
                 return
-            if not self.world.cut or source != self.world.real:
-                self.fleet.hear(clock(), data)
-                self.flush()
+            if source == self.world.real:
+                if self.world.cut:
+                    continue
+                self.look(data)
+            self.fleet.hear(clock(), data)
+            self.flush()
+
+    def look(self, data: bytes) -> None:
+        """Whether the server's view, as it tells it, is ours."""
+        letter = unseal(data, self.fleet.keys)
+        if letter.kind in (Kind.PING, Kind.ACK) and len(letter.numbers) == 2:
+            self.world.same = letter.numbers[0] == self.fleet.members.digest >> 1
 
     def tick(self) -> None:
         self.fleet.tick(clock())
@@ -67,7 +78,7 @@
     """Those of one process; `real`: the address of a server that is cut off at a word."""
 
     def __init__(self, pipe: Pipe) -> None:
-        self.pipe, self.cut = pipe, False
+        self.pipe, self.cut, self.same = pipe, False, False
         self.real = ("", 0)
         self.members: list[Hollow] = []
         self.over = asyncio.Event()
@@ -84,8 +95,9 @@
             case "cut" | "heal":
                 self.cut = word == "cut"
             case "see":
-                """Who deals, as each has it, and how many of all are there to it."""
-                self.pipe.send([(one.fleet.dealt_by, len(one.fleet.members.there())) for one in self.members])
+                """Who deals, as each has it, and how many of all are there to it; whether the server said the same."""
+                fleets = [one.fleet for one in self.members]
+                self.pipe.send((self.same, [(one.dealt_by, len(one.members.there())) for one in fleets]))
             case "over":
                 self.over.set()
 
@@ -103,7 +115,8 @@
         sock.bind(("127.0.0.1", 0))
         sock.setblocking(False)
         socks.append(sock)
-    own = [(name, "%s:%d" % sock.getsockname(), life + at) for at, (name, sock) in enumerate(zip(names, socks, strict=True))]
+    own = [(name, "%s:%d" % sock.getsockname(), life + at)
+           for at, (name, sock) in enumerate(zip(names, socks, strict=True))]
     pipe.send(own)
     all_of_them: list[Named] = pipe.recv()
 
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -11,6 +11,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
+import scale_callers  # noqa: E402
 import scale_configuration  # noqa: E402
 import scale_request  # noqa: E402
 
@@ -25,6 +26,7 @@
 scale.add_command(scale_request.request)
 scale.add_command(scale_request.during)
 scale.add_command(scale_request.deal)
+scale.add_command(scale_callers.callers)
 
 if __name__ == "__main__":
     scale()
--- /dev/null
+++ b/benchmarks/scale_callers.py
@@ -0,0 +1,127 @@
+"""What connections of callers cost one server, idle and busy: memory and processor time.
+
+    python benchmarks/scale.py callers                    # 50 to 5,000 connections, some two minutes
+
+How many callers reach one server is arithmetic and no measurement: 140,000 callers over 2,600 servers are 54 each if
+every caller holds one connection to one server; a caller that holds one to each of S servers makes that 54 times S.
+"""
+
+import asyncio
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+import uvloop
+from rich.progress import track
+
+sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent / "tests")]
+
+from processes import TOLD, machine, main_thread_ns, numbers, status_mb, told  # noqa: E402
+from rig import Rig  # noqa: E402
+from traffic import SECOND, Line, Load, Runs, generate, started  # noqa: E402
+
+from burlloom.lab.slopes import KEPT, Row  # noqa: E402
+
+CONNECTIONS = "50,200,500,1000,2500,5000"
+CALLERS, SERVERS = 140_000, 2_600
+SOCKETS = 20_000  # so that none is let go of because of others
+SERVER: dict[str, Any] = {"n_cores": 32, "memory_kb": 400000, "sockets": SOCKETS, "idle": 60_000_000, "drain_grace": 0,
+                          "stop_ms": 1500}
+RATE = 200  # requests a second over all connections while they are busy
+
+
+def held(pipe: Any, address: str, count: int) -> None:
+    """A process that holds so many connections, each with a request behind it, and says nothing more."""
+    lines = []
+    for _ in range(count):
+        lines.append(Line(address))
+        lines[-1].request(0)
+        lines[-1].heard([])
+    pipe.send("ready")
+    pipe.recv()
+
+
+async def idle(count: int, span: float) -> tuple[float, float]:
+    """MB that a server holds more for so many silent connections, and ms of processor time a second for them."""
+    with tempfile.TemporaryDirectory() as folder:
+        rig = Rig(Path(folder), **SERVER)
+        rig.executor.commands = Runs(rig.executor, Load(1, 1, work=0.0))  # type: ignore[assignment]
+        async with rig:
+            pid = rig.process.pid
+            await asyncio.sleep(0.5)
+            memory, spent = status_mb(pid, "VmRSS"), await rate_of(pid, span)
+            holder, pipe = started(held, rig.address, count)
+            try:
+                await asyncio.wait_for(asyncio.to_thread(pipe.recv), 60)
+                await asyncio.sleep(0.5)
+                more = await rate_of(pid, span)
+                return status_mb(pid, "VmRSS") - memory, more - spent
+            finally:
+                holder.kill()
+                holder.join(10)
+
+
+async def rate_of(pid: int, span: float) -> float:
+    """ms a second of its loop's thread."""
+    before, began = main_thread_ns(pid), time.perf_counter()
+    await asyncio.sleep(span)
+    return (main_thread_ns(pid) - before) / 1e6 / (time.perf_counter() - began)
+
+
+async def busy(count: int, span: float) -> tuple[float, float]:
+    """MB that a server holds more, and ms of processor time a request, while requests go round all connections."""
+    with tempfile.TemporaryDirectory() as folder:
+        rig = Rig(Path(folder), **SERVER)
+        load = Load(RATE, span, warm=0.5, connections=count, work=0.005)
+        rig.executor.commands = Runs(rig.executor, load)  # type: ignore[assignment]
+        async with rig:
+            pid = rig.process.pid
+            await asyncio.sleep(0.5)
+            memory, rest = status_mb(pid, "VmRSS"), await rate_of(pid, 1.0)
+            generator, pipe = started(generate, rig.address, load)
+            try:
+                await asyncio.wait_for(asyncio.to_thread(pipe.recv), 60)
+                begin = time.monotonic_ns() + SECOND // 20
+                pipe.send(begin)
+                await asyncio.sleep((begin - time.monotonic_ns()) / SECOND + load.warm)
+                spent = await rate_of(pid, span)
+                more = status_mb(pid, "VmRSS") - memory
+                sent = await asyncio.to_thread(pipe.recv)
+                first = begin + int(load.warm * SECOND)
+                return more, (spent - rest) * span / max(1, sum(one.intended >= first for one in sent))
+            finally:
+                generator.kill()
+                generator.join(10)
+
+
+@click.command()
+@click.option("--sizes", default=CONNECTIONS, show_default=True, callback=numbers, help="Connections.")
+@click.option("--seconds", default=4.0, show_default=True, type=click.FloatRange(0.2, 60), help="Of each state.")
+@click.option("--dry", is_flag=True, help="Keeps no rows.")
+@click.option("--to", default=KEPT, type=click.Path(dir_okay=False, path_type=Path), help="The file of kept rows.")
+def callers(sizes: tuple[int, ...], seconds: float, dry: bool, to: Path) -> None:
+    """What connections of callers cost one server."""
+    still, working = [], []
+    for count in track(sizes, "callers", console=TOLD):
+        still.append(uvloop.run(idle(count, seconds)))
+        working.append(uvloop.run(busy(count, seconds)))
+        TOLD.print(f"{count} connections: idle {still[-1]}, busy {working[-1]}")
+    here = (f"one real server between stand-ins on loopback, {machine()}; {CALLERS // SERVERS} connections a server if"
+            f" each of {CALLERS} callers holds one to one of {SERVERS} servers, which is an assumption")
+    for name, unit, state, values, note in (
+        ("connection memory", "KB", "rest", [1024 * memory for memory, _ in still],
+         "resident growth for all of them, each with one request behind it"),
+        ("connection cpu", "ms/s", "rest", [max(0.0, spent) for _, spent in still],
+         "processor time of the loop's thread for all of them, silent; less what it takes without any"),
+        ("connection memory", "KB", "churn", [1024 * memory for memory, _ in working],
+         f"resident growth with {RATE} requests a second over all of them in turn"),
+        ("connection request cpu", "ms", "churn", [spent for _, spent in working],
+         f"processor time of the loop's thread a request, {RATE} a second over all of them in turn, less what a server"
+         " takes without connections"),
+    ):
+        told(Row(name, "connections", unit, state, tuple(map(float, sizes)), tuple(values),
+                 f"python benchmarks/scale.py callers --sizes {','.join(map(str, sizes))} --seconds {seconds:g}",
+                 f"{note}; {here}"), None if dry else to)
--- a/benchmarks/scale_configuration.py
+++ b/benchmarks/scale_configuration.py
@@ -1,5 +1,5 @@
 """What a server's configuration costs by the number of tenants in it: file, memory, start, and one change, which is a
-reload of the whole today. Routes stand in no configuration of ours yet: for them a plain dict is measured, as a yardstick.
+reload of the whole today. Routes stand in no configuration of ours yet: for them a plain dict is measured.
 
     python benchmarks/scale.py configuration                      # five sizes, some two minutes
     python benchmarks/scale.py configuration --sizes 100,200,300,400,500 --rounds 1 --dry
@@ -168,7 +168,7 @@
 
 @click.command()
 @click.option("--sizes", default=TENANTS, show_default=True, callback=numbers, help="Tenants.")
-@click.option("--rounds", default=3, show_default=True, type=click.IntRange(1, 20), help="Of each size; medians are told.")
+@click.option("--rounds", default=3, show_default=True, type=click.IntRange(1, 20), help="Of each; medians count.")
 @click.option("--dry", is_flag=True, help="Keeps no rows.")
 @click.option("--to", default=KEPT, type=click.Path(dir_okay=False, path_type=Path), help="The file of kept rows.")
 def configuration(sizes: tuple[int, ...], rounds: int, dry: bool, to: Path) -> None:
@@ -185,7 +185,8 @@
 def rows(sizes: Sequence[int], found: list[Found], rounds: int) -> list[Row]:
     command = f"python benchmarks/scale.py configuration --sizes {','.join(map(str, sizes))} --rounds {rounds}"
     here = (f"one real server between stand-ins on loopback, {machine()}; names of 13 letters and a portion each are"
-            " a guess; nothing carries a change to other machines today: each server reads a file that somebody laid there")
+            " a guess; nothing carries a change to other machines today: each server reads a file that somebody laid"
+            " there")
     middle = statistics.median
 
     def row(name: str, unit: str, state: str, values: list[float], note: str) -> Row:
@@ -203,11 +204,11 @@
         row("configuration start", "ms", "cold", [middle(one.listens) for one in found],
             f"WALL time until it listens, median of {rounds}"),
         row("reload cpu", "ms", "churn", [middle(one.reload_cpu) for one in found],
-            f"processor time of the loop's thread for one reload, median of {rounds}; the reload is one turn of the loop,"
-            " so that this is its longest stall in thread time too"),
+            f"processor time of the loop's thread for one reload, median of {rounds}; the reload is one turn of the"
+            " loop, so that this is its longest stall in thread time too"),
         row("reload stall", "ms", "churn", [middle(one.stall) for one in found],
-            f"WALL time, longest wait of a health question in a reload, median of {rounds}; without a reload the longest"
-            f" was {max(max(one.still) for one in found):.1f} ms"),
+            f"WALL time, longest wait of a health question in a reload, median of {rounds}; without a reload the"
+            f" longest was {max(max(one.still) for one in found):.1f} ms"),
     ]
 
 
@@ -254,8 +255,8 @@
         measured.append(size)
     told(Row("routes memory", "routes", "MB", "rest", tuple(map(float, sizes)), tuple(measured),
              f"python benchmarks/scale.py routes --sizes {','.join(map(str, sizes))}",
-             "a YARDSTICK, not the program: it has no routes in its configuration today; resident growth of a process that"
-             " builds a plain dict of paths of some 35 letters to (service, ms, share), which is a guess of a route;"
+             "a YARDSTICK, not the program: it has no routes in its configuration today; resident growth of a process"
+             " that builds a plain dict of paths of some 35 letters to (service, ms, share), which is a guess of a route;"
              f" {machine()}"), None if dry else to)
     ends = passed_at(sizes, measured, MEMORY_MB)
     click.echo(f"{MEMORY_MB:g} MB passed at {'no size' if ends is None else f'{ends:.0f} routes'};"
--- a/benchmarks/scale_request.py
+++ b/benchmarks/scale_request.py
@@ -7,8 +7,8 @@
     python benchmarks/scale.py during rejoin              # around a rejoin of the member, by members
     python benchmarks/scale.py deal                       # while it deals, by members; --plain: while another does
 
-Open loop: Poisson arrivals from a seed, latency from the intended moment, in an HDR histogram. Latency wants a machine at
-rest: each line says its load, and a row from a busy machine says so. Processor time counts then too.
+Open loop: Poisson arrivals from a seed, latency from the intended moment, in an HDR histogram. Latency wants a machine
+at rest: each line says its load, and a row from a busy machine says so. Processor time counts then too.
 """
 
 import asyncio
@@ -45,14 +45,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Played:
-    """Of one run. `cpu`: processor time of the server's loop, ms a request, less what it takes at rest; `idle`, ms/s."""
+    """Of one run. `cpu`: processor time of the server's loop, ms a request, less what it takes at rest."""
 
     sent: list[Sent]
     own: dict[str, int]  # ns that the stand-ins had each
     begin: int
     cpu: float
-    idle: float
-    used: float  # ms/s
+    idle: float  # ms/s at rest
+    used: float  # ms/s in all
     load: float
     quiet: bool
     moments: list[int]  # of events
@@ -141,7 +141,7 @@
 def common(command: Callable[..., None]) -> Callable[..., None]:
     for option in (
         click.option("--dry", is_flag=True, help="Keeps no rows."),
-        click.option("--to", default=KEPT, type=click.Path(dir_okay=False, path_type=Path), help="The file of kept rows."),
+        click.option("--to", default=KEPT, type=click.Path(dir_okay=False, path_type=Path), help="The file of rows."),
         click.option("--seed", default=1, show_default=True),
     ):
         command = option(command)
@@ -157,8 +157,8 @@
 def request(rates: tuple[int, ...], seconds: float, calls: bool, bare: bool, seed: int, dry: bool, to: Path) -> None:
     """One real server at several rates."""
     place = None if dry else to
-    command = (f"python benchmarks/scale.py request --rates {','.join(map(str, rates))} --seconds {seconds:g} --seed {seed}"
-               + " --calls" * calls + " --harness" * bare)
+    command = (f"python benchmarks/scale.py request --rates {','.join(map(str, rates))} --seconds {seconds:g}"
+               f" --seed {seed}" + " --calls" * calls + " --harness" * bare)
     found: list[Told] = []
     plays: list[Played] = []
     for rate in track(rates, "request", console=TOLD):
@@ -174,7 +174,7 @@
                    f" {play.idle:.1f} at rest; load {play.load:.1f}; {found[-1]}")
     kind = " with calls" if calls else ""
     here = (f"one real server between stand-ins in processes of their own on loopback, {machine()}; runs of 5 ms"
-            + (" and one call below of 10 ms each" if calls else ", no calls below") + "; requests of one class, read-only")
+            + (" and one call below of 10 ms each" if calls else ", no calls below") + "; one class, read-only")
 
     def row(name: str, unit: str, values: list[float], note: str) -> None:
         told(Row(name, "requests a second", unit, "churn", tuple(map(float, rates)), tuple(values), command,
@@ -184,16 +184,16 @@
         return
     row(f"request cpu{kind}", "ms", [play.cpu for play in plays],
         "processor time of the loop's thread a request, less what it takes at rest")
-    about = (f"{busy(plays)}from the intended moment, less what the stand-ins had the request; reading of commands by the stand-ins"
-             f" and the generator's own lateness (p99 {max(one.late_p99 for one in found):.2f} ms at most) are in it;"
+    about = (f"{busy(plays)}from the intended moment, less what the stand-ins had the request; reading of commands by the"
+             f" stand-ins and the generator's own lateness (p99 {max(one.late_p99 for one in found):.2f} ms at most) are in it;"
              f" load of each {', '.join(f'{play.load:.1f}' for play in plays)}; not settled: "
              f"{unsettled(found)}")
     row(f"request p50 added{kind}", "ms", [one.p50 for one in found], about)
     row(f"request p99 added{kind}", "ms", [one.p99 for one in found], about)
     ends = passed_at(rates, [one.p99 for one in found], ADDED_MS, 1e5)
     first = next((rate for rate, one in zip(rates, found, strict=True) if one.p99 > ADDED_MS), None)
-    click.echo(f"{ADDED_MS} ms added at the 99th percentile: first passed of those measured at {first or 'none'}, by the fit at"
-               f" {'none' if ends is None else f'{ends:.0f}'} a second")
+    click.echo(f"{ADDED_MS} ms added at the 99th percentile: first passed of those measured at {first or 'none'}, by the"
+               f" fit at {'none' if ends is None else f'{ends:.0f}'} a second")
     ends = passed_at(rates, [play.used for play in plays], 1000.0, 1e5)
     click.echo(f"a whole core is passed at {'none' if ends is None else f'{ends:.0f}'} a second")
 
@@ -210,7 +210,8 @@
 
 def windows(play: Played, moments: Sequence[int]) -> Told:
     """All requests that were to be sent around these."""
-    return told_of([one for one in play.sent if any(at - BEFORE <= one.intended < at + AFTER for at in moments)], play.own)
+    near = [one for one in play.sent if any(at - BEFORE <= one.intended < at + AFTER for at in moments)]
+    return told_of(near, play.own)
 
 
 class Reloads:
@@ -260,7 +261,8 @@
         life = time.time_ns() // 1_000_000 + (HOUR_MS if self.deals else -HOUR_MS)
         names = [f"h{at:04d}" for at in range(self.count - 1)]
         for at in range(0, len(names), HOLLOW_MOST):
-            self.processes.append(started(hollow, names[at:at + HOLLOW_MOST], life + at, part_of(folder, self.count, [])))
+            part = part_of(folder, self.count, [])
+            self.processes.append(started(hollow, names[at:at + HOLLOW_MOST], life + at, part))
         told_all = [one for _, pipe in self.processes for one in await asyncio.to_thread(pipe.recv)]
         for _, pipe in self.processes:
             pipe.send(told_all)
@@ -288,16 +290,16 @@
         async with asyncio.timeout(60):
             while not await self.agreed(rig.name):
                 await asyncio.sleep(0.2)
-            while rig.log().count("event=member ") < self.count - 1:
-                await asyncio.sleep(0.2)
 
-    async def seen(self) -> list[tuple[str, int]]:
-        """By each hollow member: who deals, and how many are there."""
+    async def seen(self) -> tuple[bool, list[tuple[str, int]]]:
+        """Whether the server's view is that of others; by each hollow member, who deals, and how many are there."""
         self.tell("see")
-        return [one for _, pipe in self.processes for one in await asyncio.to_thread(pipe.recv)]
+        found = [await asyncio.to_thread(pipe.recv) for _, pipe in self.processes]
+        return any(same for same, _ in found), [one for _, members in found for one in members]
 
     async def agreed(self, name: str) -> bool:
-        return all((dealt_by == name) is self.deals and there == self.count for dealt_by, there in await self.seen())
+        same, members = await self.seen()
+        return same and all((dealt_by == name) is self.deals and there == self.count for dealt_by, there in members)
 
 
 class Rejoins(Members):
@@ -315,7 +317,7 @@
             await rest(first + int((SETTLED + turn * (CUT + self.gap)) * SECOND))
             self.tell("cut")
             await asyncio.sleep(CUT)
-            self.buried.append(sum(there < self.count for _, there in await self.seen()) / (self.count - 1))
+            self.buried.append(sum(there < self.count for _, there in (await self.seen())[1]) / (self.count - 1))
             found.append(time.monotonic_ns())
             self.tell("heal")
         return found
@@ -330,7 +332,7 @@
 @click.argument("what", type=click.Choice(["reload", "rejoin"]))
 @click.option("--sizes", default="", help="Tenants of a reload, members of a rejoin.")
 @click.option("--rate", default=300, show_default=True, type=click.IntRange(1, 5000), help="Requests a second.")
-@click.option("--times", default=3, show_default=True, type=click.IntRange(1, 20), help="That it happens, at each size.")
+@click.option("--times", default=3, show_default=True, type=click.IntRange(1, 20), help="That it happens.")
 @click.option("--gap", default=6.0, show_default=True, type=click.FloatRange(1.5, 60), help="s between them.")
 @common
 def during(what: str, sizes: str, rate: int, times: int, gap: float, seed: int, dry: bool, to: Path) -> None:
@@ -352,10 +354,10 @@
             gone.append(min(happening.buried))
         beside.append(windows(play, [at - happening.beside for at in play.moments]))
         TOLD.print(f"{count}: load {play.load:.1f}\n  around: {near[-1]}\n  beside: {beside[-1]}")
-    here = (f"{busy(plays)}requests that were to be sent from a quarter of a second before to three quarters after, {times}"
-            f" times at {rate} a second, no calls below; {between(plays)}; not settled: {unsettled(near)}"
-            + ("" if kind is Reloads else f"; the other members are hollow, the server was cut off for {CUT:g} s before, and"
-               f" gone to {', '.join(f'{100 * one:.0f}%' for one in gone)} of them when it was healed"))
+    here = (f"{busy(plays)}requests that were to be sent from a quarter of a second before to three quarters after,"
+            f" {times} times at {rate} a second, no calls below; {between(plays)}; not settled: {unsettled(near)}"
+            + ("" if kind is Reloads else f"; the other members are hollow, the server was cut off for {CUT:g} s before,"
+               f" and gone to {', '.join(f'{100 * one:.0f}%' for one in gone)} of them when it was healed"))
     for name, values, note in (
         (f"request p99 added in a {what}", [one.p99 for one in near], "added, as without"),
         (f"request longest in a {what}", [one.longest for one in near], "the longest of all answers"),
@@ -377,8 +379,8 @@
 @common
 def deal(sizes: tuple[int, ...], rate: int, seconds: float, plain: bool, seed: int, dry: bool, to: Path) -> None:
     """p99 of requests at a server that deals the calls below to all members, or at a plain one."""
-    command = (f"python benchmarks/scale.py deal --sizes {','.join(map(str, sizes))} --rate {rate} --seconds {seconds:g}"
-               f" --seed {seed}" + " --plain" * plain)
+    command = (f"python benchmarks/scale.py deal --sizes {','.join(map(str, sizes))} --rate {rate}"
+               f" --seconds {seconds:g} --seed {seed}" + " --plain" * plain)
     found: list[Told] = []
     plays: list[Played] = []
     for count in track(sizes, "deal", console=TOLD):
@@ -387,8 +389,8 @@
         play = uvloop.run(happened(Load(rate, 0, connections=32, seed=seed), happening))
         plays.append(play)
         found.append(told_of(play.sent, play.own, play.begin))
-        TOLD.print(f"{count} members: {play.idle:.1f} ms/s without requests, {play.used:.0f} with; load {play.load:.1f};"
-                   f" {found[-1]}")
+        TOLD.print(f"{count} members: {play.idle:.1f} ms/s without requests, {play.used:.0f} with;"
+                   f" load {play.load:.1f}; {found[-1]}")
     who = "as a member" if plain else "while it deals"
     here = (f"{busy(plays)}{rate} requests a second, no calls below; the other members are hollow; {between(plays)};"
             f" not settled: {unsettled(found)}")
@@ -396,7 +398,7 @@
         (f"request p99 added {who}", "ms", [one.p99 for one in found], "added, as without a fleet"),
         (f"request longest {who}", "ms", [one.longest for one in found], "the longest of all answers"),
         (f"request idle cpu {who}", "ms/s", [play.idle for play in plays],
-         "processor time of the loop's thread before the first request: the fleet's part and what a server does at rest"),
+         "processor time of the loop's thread before the first request: the fleet's part and what any server does"),
     ):
         told(Row(name, "members", unit, "rest", tuple(map(float, sizes)), tuple(values), command, f"{note}; {here}"),
              None if dry else to)
--- a/benchmarks/traffic.py
+++ b/benchmarks/traffic.py
@@ -91,7 +91,8 @@
         self.say("look", told, b"")
         self.open[self.number] = told["id"], intended, time.monotonic_ns()
 
-    def heard(self, found: list[Sent]) -> None:
+    def heard(self, found: list[Sent]) -> bool:
+        """Takes in what came; false once the connection is over."""
         try:
             data = self.sock.recv(65536)
         except OSError:
@@ -101,13 +102,14 @@
             self.usable = False
             found += (Sent(*one, now, "lost") for one in self.open.values())
             self.open.clear()
-            return
+            return False
         self.unpacker.feed(data)
         for kind, *message in self.unpacker:
             if kind == 2:
                 self.usable = False  # told to close
             elif (one := self.open.pop(message[0], None)) is not None:
                 found.append(Sent(*one, now, "settled" if message[1] is None else message[1][0]))
+        return True
 
 
 def generate(pipe: Pipe, address: str, load: Load) -> None:
@@ -121,11 +123,15 @@
     times, at = [], 0.0
     while (at := at + chance.expovariate(load.rate)) < load.warm + load.seconds:
         times.append(begin + int(at * SECOND))
+    by_number = {line.sock.fileno(): line for line in lines}
+    heard = select.epoll()  # itself waited for by `select`, whose time-outs are finer than a millisecond
+    for number in by_number:
+        heard.register(number, select.EPOLLIN)
     gc.collect()
     gc.disable()
     found: list[Sent] = []
     late: deque[int] = deque()
-    turn = next_one = 0
+    turn = next_one = asked = 0
     until = begin + int((load.warm + load.seconds + GRACE) * SECOND)
     while (now := time.monotonic_ns()) < until:
         while next_one < len(times) and times[next_one] <= now:
@@ -135,14 +141,17 @@
             turn = (turn + 1) % len(lines)
             if lines[turn].usable and len(lines[turn].open) < OPEN_MOST:
                 lines[turn].request(late.popleft())
+                asked += 1
                 if not late:
                     break
-        if next_one == len(times) and not late and not any(line.open for line in lines):
+        if next_one == len(times) and not late and len(found) == asked:
             break
         wait = (times[next_one] - time.monotonic_ns()) / SECOND if next_one < len(times) else 0.05
-        by_sock = {line.sock: line for line in lines if line.usable or line.open}
-        for sock in select.select(list(by_sock), [], [], max(0.0, min(wait, 0.05)))[0]:
-            by_sock[sock].heard(found)
+        if select.select([heard], [], [], max(0.0, min(wait, 0.05)))[0]:
+            for number, _ in heard.poll(0):
+                if not by_number[number].heard(found):
+                    heard.unregister(number)
+    heard.close()
     now = time.monotonic_ns()
     found += (Sent(*one, now, "unanswered") for line in lines for one in line.open.values())
     found += (Sent("", intended, now, now, "unsent") for intended in (*late, *times[next_one:]))
@@ -221,8 +230,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """Of the requests of a span, ms. `added` by the server; `whole`: from the intended moment to the answer; `late`: the
-    generator itself. Percentiles are of those settled; `longest` is of all that were answered."""
+    """Of the requests of a span, ms. `p50`, `p99`: added by the server to those that were settled; `longest`: to any;
+    `whole_p99`: from the intended moment to the answer; `late_p99`: by which the generator was late."""
 
     count: int
     how: dict[str, int]
--- a/tests/test_scale_request.py
+++ b/tests/test_scale_request.py
@@ -1,5 +1,5 @@
-"""The small forms of benchmarks/scale_request.py: whole rows, every request accounted for, and the stand-ins' own time taken
-off. Nothing here asserts how long anything takes by the wall."""
+"""The small forms of benchmarks/scale_request.py: whole rows, every request accounted for, and the stand-ins' own time
+taken off. Nothing here asserts how long anything takes by the wall."""
 
 from pathlib import Path
 
@@ -39,7 +39,8 @@
 
 def test_every_request_is_accounted_for_and_had_its_run_and_call() -> None:
     play = uvloop.run(played(Load(100, 0.8, warm=0.2, work=0.05, call=0.05)))
-    assert play.sent and {one.how for one in play.sent} == {"settled"}
+    assert len(play.sent) > 50 and {one.how for one in play.sent} == {"settled"}
+    assert len({one.id for one in play.sent}) == len(play.sent)
     # 100 ms, in ns; the loop's timers may be early by the length of a turn, and what they took is what counts
     assert all(play.own[one.id] >= 75_000_000 for one in play.sent), min(play.own.values())
     assert all(one.intended <= one.sent <= one.answered for one in play.sent)
@@ -47,7 +48,8 @@
 
 
 def test_a_change_is_made_while_requests_come(tmp_path: Path) -> None:
-    run(tmp_path / "rows", "during", "reload", "--sizes", "10,20,30,40,50", "--rate", "50", "--times", "1", "--gap", "1.5")
+    run(tmp_path / "rows", "during", "reload", "--sizes", "10,20,30,40,50", "--rate", "50", "--times", "1",
+        "--gap", "1.5")
     found = newest(kept(tmp_path / "rows"))
     assert {name for name, _, _ in found} == {f"request {what} {where} a reload" for where in ("in", "beside")
                                               for what in ("p99 added", "longest")}
@@ -62,3 +64,17 @@
     assert told.p50 == told.p99 == pytest.approx(2.0, rel=0.01)
     assert told.whole_p99 == pytest.approx(12.0, rel=0.01) and told.late_p99 == pytest.approx(1.0, rel=0.01)
     assert windows(type("Play", (), {"sent": sent, "own": {}})(), [SECOND]).how == {"lost": 1}
+
+
+def test_a_member_rejoins_while_requests_come(tmp_path: Path) -> None:
+    run(tmp_path / "rows", "during", "rejoin", "--sizes", "2,3,4,5,6", "--rate", "30", "--times", "1", "--gap", "1.5")
+    found = newest(kept(tmp_path / "rows"))
+    assert all(row.by == "members" and "hollow" in row.note for row in found.values())
+
+
+@pytest.mark.parametrize("more, who", [((), "while it deals"), (("--plain",), "as a member")])
+def test_a_member_deals_or_another_does(tmp_path: Path, more: tuple[str, ...], who: str) -> None:
+    """Each play begins only once all agree who is there and whether it is this server that deals."""
+    run(tmp_path / "rows", "deal", "--sizes", "2,3,4,5,6", "--rate", "30", "--seconds", "0.3", *more)
+    assert {name for name, _, _ in newest(kept(tmp_path / "rows"))} == {
+        f"request p99 added {who}", f"request longest {who}", f"request idle cpu {who}"}
