--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -1,4 +1,4 @@
-"""What a process has cost so far, as the system tells it: processor time, resident memory; and what a slope is told with."""
+"""What a process has cost so far, as the system tells it: processor time and memory; and what a slope is told with."""
 
 import json
 import os
@@ -41,7 +41,7 @@
 
 
 def gauge_ms() -> float:
-    """Processor time of a fixed piece of work: cores that share caches and pipelines with others take more for the same."""
+    """Processor time of a fixed piece of work: a core that shares caches with busy ones takes more for the same."""
     text = json.dumps([{"name": f"n{at:06d}", "portion": at / 7} for at in range(20_000)])
     took = []
     for _ in range(5):
@@ -79,12 +79,17 @@
     return keep(row, place) if place is not None else row
 
 
-def numbers(_: click.Context, __: click.Parameter, value: str) -> tuple[int, ...]:
-    """An option with several whole numbers, as `10000,30000`."""
+def whole(text: str) -> tuple[int, ...]:
+    """Several whole numbers, as `10000,30000`."""
     try:
-        found = tuple(sorted({int(one) for one in value.split(",")}))
+        found = tuple(sorted({int(one) for one in text.split(",")}))
     except ValueError:
-        raise click.BadParameter(f"{value!r} is no list of whole numbers") from None
+        raise click.BadParameter(f"{text!r} is no list of whole numbers") from None
     if min(found) < 1:
         raise click.BadParameter("sizes are over 0")
     return found
+
+
+def numbers(_: click.Context, __: click.Parameter, value: str) -> tuple[int, ...]:
+    """An option of several whole numbers."""
+    return whole(value)
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -11,6 +11,7 @@
 
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
 
+import scale_callers  # noqa: E402
 import scale_configuration  # noqa: E402
 import scale_request  # noqa: E402
 import scale_servers  # noqa: E402
@@ -23,7 +24,8 @@
 
 
 for command in (scale_configuration.configuration, scale_configuration.routes, scale_request.request,
-                scale_request.during, scale_servers.servers, scale_table.table):
+                scale_request.during, scale_request.deal, scale_callers.callers, scale_servers.servers,
+                scale_table.table):
     scale.add_command(command)
 
 if __name__ == "__main__":
