--- /dev/null
+++ b/burlloom/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Carrying configuration to a fleet."""
