--- a/burlloom/distribution/messages.py
+++ b/burlloom/distribution/messages.py
@@ -26,7 +26,7 @@
 SCOPES_MOST = 16  # that one follower holds by name
 PULL_MOST = 32  # changes that one PULL asks for
 PAGES_MOST = 8  # pages that one PAGES_ASK asks for
-PAGE_BYTES = 850  # of a page's entries; one entry alone may pass it
+PAGE_BYTES = 1050  # of a page's entries: with the longest names and places it still fits
 HALF = BUCKETS // 2  # bucket digests a message
 PAGE_ENTRIES = 256  # of one page: more don't fit
 
@@ -41,7 +41,7 @@
     PAGES_ASK = 6  # pages of a bucket, from there on
     PAGE = 7
     REDIRECT = 8  # go to your next: we are full, leave, or don't hold what you want
-    BYE = 9  # we left
+    BYE = 9  # to whom we followed: we go, or follow another
 
 
 class Sender(NamedTuple):
@@ -118,6 +118,7 @@
     pass
 
 
+REQUESTS = frozenset({Kind.REPORT, Kind.PULL, Kind.DIGESTS_ASK, Kind.PAGES_ASK, Kind.BYE})
 Body = Report | Told | Pushed | Pull | DigestsAsk | Digests | PagesAsk | Paged | Redirect | Bye
 
 
@@ -154,6 +155,11 @@
     return message_of(got)
 
 
+def to_source(data: bytes) -> bool:
+    """By a look at the kind, unread: whether that is for who is followed, not for a follower."""
+    return len(data) > SEAL + 2 and data[SEAL + 2] in REQUESTS
+
+
 def message_of(got: Any) -> Message:
     if type(got) is not list or len(got) < 5:
         raise Unreadable("no message")
--- a/burlloom/distribution/state.py
+++ b/burlloom/distribution/state.py
@@ -41,9 +41,12 @@
             except Refused as refused:
                 return str(refused)
             scopes = (change.scope,)
-            before = self.table.digest_of(scopes)
-            self.table.put(entries)
-            moved = before ^ self.table.digest_of(scopes)
+            before = self.digest_of(scopes)
+            try:
+                self.table.put(entries)
+            except ValueError as error:  # a table's own bounds, before it touched anything
+                return f"the table refuses: {error!s:.200}"
+            moved = before ^ self.digest_of(scopes)
         self.log.add(change, moved)
         return ""
 
@@ -71,4 +74,10 @@
         if self.head is None or self.patched or revision > self.head.revision:
             return None
         moved = self.log.moved(revision, scopes)
-        return None if moved is None else moved ^ self.table.digest_of(scopes)
+        return None if moved is None else moved ^ self.digest_of(scopes)
+
+    def digest_of(self, scopes: tuple[str, ...] | None) -> int:
+        return self.table.digest() if scopes is None else self.table.digest_of(scopes)
+
+    def digests_of(self, scopes: tuple[str, ...] | None) -> tuple[int, ...]:
+        return self.table.digests() if scopes is None else self.table.digests_of(scopes)
