--- a/burlloom/distribution/follower.py
+++ b/burlloom/distribution/follower.py
@@ -31,7 +31,7 @@
 EARLY_MOST = 256  # changes that wait for those before them, the earliest; 280 KB at most
 FOLD_MOST = 65_536  # keys that change while a sync runs: at four changes a second that is hours
 PUT_MOST = 64  # entries at once, of what was folded
-FETCH_MOST = 4  # buckets that are fetched at once, of PAGES_MOST pages each
+FETCH_MOST = 16  # buckets that are fetched at once, of PAGES_MOST pages each
 REPORTS_MOST = 4  # that may still be answered
 WORDS_MOST = 8  # of an upstream's age, for revisions that are still to come
 REFUSED_MOST = 3  # changes in a row that don't follow: then another upstream is asked
