Configuration distribution: walked whole, networks of chance, fail-over, syncs, strangers

Cause: the follower and its source had no tests. Change: tests/explore_distribution.py walks one source and one follower; tests of whole networks in simulated time. Better upstreams are each tried once in ten seconds, also where there are many of them.

--- a/burlloom/distribution/follower.py
+++ b/burlloom/distribution/follower.py
@@ -247,8 +247,9 @@
 
     def look_around(self, now: int) -> None:
         """A report to one of the better upstreams, each in turn; to any where the own one has old news."""
-        self.probe_at = now + self.jittered(self.terms.prefer if not self.poor() else self.terms.beat)
         most = len(self.upstreams) if self.poor() else self.at
+        self.probe_at = now + self.jittered(self.terms.beat if self.poor() else
+            max(self.terms.beat, self.terms.prefer // max(1, most)))
         if not most or not self.answered or self.sync is not None:
             return
         self.probe_last = (self.probe_last + 1) % most
--- a/tests/distribution_world.py
+++ b/tests/distribution_world.py
@@ -125,7 +125,7 @@
         self.up, self.paused, self.seen, self.settled, self.read_at = True, False, (0, 0), 0, -1
         self.inbox, self.keys = [], {}
         self.follower = self.source = None
-        self.copy = Copy(Table(None if self.control else ("", self.region)), [SIGN], world.log_most)
+        self.copy = Copy(Table(None if self.control else tuple({"", self.region})), [SIGN], world.log_most)
         chance = Random(world.chance.random())
         if self.control:
             self.source = Source(self.copy, self.name, life, (SEAL,), world.terms, chance, world.now, self.store_age)
@@ -232,6 +232,7 @@
         self.cut: set[tuple[str, str]] = set()  # one way: from, to
         self.queue: list[tuple[int, int, Callable[[], None]]] = []
         self.count, self.step = 0, step
+        self.checks = True  # until a test itself falsifies a table
         self.watch: list[str] = []  # keys whose values must not go back
 
     def add(self, name: str, region: str, upstreams: Iterable[str] = (), control: bool = False,
@@ -272,7 +273,7 @@
     def check(self, node: Node) -> None:
         copy, truth, follower = node.copy, self.truth, node.follower
         head = copy.head
-        if head is None:
+        if head is None or not self.checks:
             return
         key = head.epoch, head.revision
         where = node.name, self.now, key, node.seen
--- a/tests/test_distribution_core.py
+++ b/tests/test_distribution_core.py
@@ -1,14 +1,14 @@
 """Carrying configuration without I/O: the chain, messages, the copy, the follower's states, and whole networks in
 simulated time."""
 
-from collections.abc import Iterator
 from itertools import permutations
 from random import Random
 from typing import Any
 
 import msgpack
 import pytest
-from distribution_world import MS, SEAL, SECOND, SIGN, Node, World, change, fleet, value
+from distribution_world import MS, SEAL, SECOND, SIGN, Node, Truth, World, change, fleet, value
+from explore_distribution import Explorer
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -301,3 +301,625 @@
         new = window.new(one)
         assert not (new and one in taken) and (new or one in taken or max(taken) - one >= 64)
         taken |= {one} if new else set()
+
+
+# The walk.
+
+
+@pytest.mark.parametrize(("begun", "newcomer", "most"), [
+    (0, False, {"change": 2, "beat": 2, "lose": 1, "double": 1}),
+    (1, True, {"change": 1, "beat": 2, "lose": 1}),
+    (0, False, {"change": 2, "beat": 2, "forge": 1}),
+    (0, False, {"change": 1, "beat": 2, "forge": 1, "source": 1}),
+    (2, False, {"beat": 2, "behind": 1})])
+def test_one_source_and_one_follower_walked_whole(begun: int, newcomer: bool, most: dict[str, int]) -> None:
+    explorer = Explorer(begun, newcomer, **most)
+    worlds, fault, whole = explorer.walk(1 << 20)
+    assert not fault and whole and worlds > 500 and explorer.calm > 10, (worlds, fault, whole)
+
+
+MUCH = {"change": 3, "beat": 12, "lose": 6, "double": 6, "follower": 1, "source": 1, "behind": 1, "epoch": 1, "old": 1,
+        "forge": 1}
+
+
+@pytest.mark.parametrize("newcomer", [False, True])
+def test_long_histories_of_one_source_and_one_follower(newcomer: bool) -> None:
+    steps, fault = Explorer(1, newcomer, flying=8, **MUCH).wander(1000, 40, 1)
+    assert not fault and steps > 30_000
+
+
+@pytest.mark.parametrize("newcomer", [False, True])
+@pytest.mark.parametrize("broken", ["gap", "chain", "replay", "target", "epoch", "unasked", "old-page"])
+def test_a_rule_left_out_is_noticed(broken: str, newcomer: bool) -> None:
+    assert Explorer(1, newcomer, broken, 8, **MUCH).wander(1500, 40, 1)[1]
+
+
+# Networks of chance.
+
+def happens(world: World, node: Node) -> None:
+    """Something of chance to a node or a link."""
+    chance, other = world.chance, world.chance.choice(list(world.nodes.values()))
+    match chance.choice(["kill", "start", "start", "pause", "wake", "wake", "cut", "one-way", "heal", "heal",
+                         "region", "store", "store-back", "flip"]):
+        case "kill":
+            if node.follower is not None and chance.random() < 0.3:
+                node.follower.leave()
+            node.up = False
+        case "start" if not node.up:
+            node.start()
+        case "pause" if node.up:
+            node.paused = True
+        case "wake" if node.up and node.paused:
+            node.wake()
+        case "cut":
+            world.cut |= {(node.name, other.name), (other.name, node.name)}
+        case "one-way":
+            world.cut.add((node.name, other.name))
+        case "heal":
+            world.cut.clear()
+        case "region":
+            region = chance.choice("abc")
+            for one in world.nodes.values():
+                for two in world.nodes.values():
+                    if (one.region == region) != (two.region == region):
+                        world.cut.add((one.name, two.name))
+        case "store":
+            node.store = False
+        case "store-back":
+            for one in world.nodes.values():
+                one.store = True
+        case _:
+            pass
+
+
+def heal(world: World) -> None:
+    world.cut.clear()
+    for node in world.nodes.values():
+        node.store = True
+        if not node.up:
+            node.start()
+        elif node.paused:
+            node.wake()
+
+
+def chaos(seed: int, relays: int, seconds: float = 120) -> float:
+    """How long after healing all agreed, s."""
+    chance = Random(seed)
+    world = World(seed, (0.0005, chance.choice([0.002, 0.05, 0.15])), chance.choice([0, 0.01, 0.05, 0.2]),
+        chance.choice([0, 0.1]), log_most=chance.choice([8, 64, 4096]))
+    world.watch = [f"{scope}-{at}" for scope in ("all", "a", "b", "c") for at in range(3)]
+    for at in range(chance.choice([0, 300])):
+        world.truth.put(0, chance.choice(["", "a", "b"]), [("route", f"old-{at}", value(1))])
+    fleet(world, 9, 3, relays)
+    end = world.now + seconds * SECOND
+    while world.now < end:
+        for _ in range(chance.choice([0, 1, 3])):
+            change(world)
+        if chance.random() < 0.02:
+            world.truth.restore(world.now)
+        happens(world, chance.choice(list(world.nodes.values())))
+        world.run(chance.choice([0.1, 0.3, 1, 3, 10]))
+    heal(world)
+    at = world.now
+    while world.agreed() and world.now - at < HEALED * SECOND:
+        world.run(0.25)
+    assert not world.agreed(), (seed, relays, world.loss, world.agreed())
+    return (world.now - at) / SECOND
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_all_agree_soon_after_any_trouble(seed: int) -> None:
+    """Kills, pauses, cuts both ways and one, regions and stores cut off, new epochs, losses to 20%, delays to 150 ms; in
+    three levels for every other seed."""
+    chaos(seed, seed % 2 * 3)
+
+
+@pytest.mark.parametrize(("rate", "seed"), [(0.4, 1), (0.4, 2), (4.0, 1), (4.0, 2)])
+def test_a_change_is_soon_in_force_everywhere(rate: float, seed: int) -> None:
+    assert soon(rate, seed, 0) < 6
+
+
+def test_a_change_is_soon_in_force_below_relays() -> None:
+    assert soon(4.0, 3, 3) < 6
+
+
+def soon(rate: float, seed: int, relays: int, seconds: float = 60) -> float:
+    """With 1% loss and delays of up to 150 ms: the longest from a change in the store until it is in force at one of
+    thirty followers, s."""
+    world = World(seed, (0.001, 0.15), 0.01)
+    fleet(world, 30, 3, relays)
+    world.run(10)
+    assert not world.agreed()
+    until, chance = world.now + seconds * SECOND, Random(seed)
+    while world.now < until:
+        change(world)
+        world.run(chance.expovariate(rate))
+    world.run(8)
+    assert not world.agreed()
+    return max(node.in_force[key] - born for key, born in world.truth.born.items() if key[1]
+               for node in world.nodes.values()) / SECOND
+
+
+@pytest.mark.parametrize("rate", [0, 0.4, 4])
+def test_a_follower_costs_little_of_the_network(rate: float) -> None:
+    found = cost(rate)
+    assert max(found[1], found[3]) < 9000 and sum(found[::2]) < 4 + 3 * rate, found
+
+
+def cost(rate: float, seconds: float = 60) -> list[float]:
+    """Of a follower, a second: datagrams and bytes sent, datagrams and bytes heard. Changes of 300 bytes."""
+    world = World(1, (0.001, 0.15), 0.01)
+    fleet(world, 9)
+    world.run(10)
+    before = world.spend()
+    for number in range(int(seconds * max(rate, 0.1))):
+        if rate:
+            world.truth.put(world.now, "", [("tenant", f"t{number % 7}", msgpack.packb({"n": number, "x": "y" * 280}))])
+        world.run(1 / max(rate, 0.1))
+    worst = max(range(9), key=lambda at: sum(world.nodes[f"server-{at}"].spent))
+    name = f"server-{worst}"
+    return [(now - was) / seconds for now, was in zip(world.nodes[name].spent, before[name], strict=True)]
+
+
+# Syncs.
+
+
+def test_a_newcomer_syncs_from_a_table_that_moves_meanwhile() -> None:
+    world = World(1, (0.02, 0.08), 0.05)
+    world.watch = [f"all-{at}" for at in range(8)]
+    for number in range(1500):
+        world.truth.put(0, "", [("tenant", f"old-{number}", value(number)), ("tenant", f"all-{number % 8}", value(number))])
+    fleet(world, 1)
+    node = world.nodes["server-0"]
+    assert node.follower is not None
+    states, heads = set(), set()
+    for _ in range(200):
+        change(world, 8)
+        world.run(0.05)
+        states.add(node.follower.state)
+        heads.add(node.copy.head)
+    world.run(10)
+    assert {State.EMPTY, State.SYNCING, State.CURRENT} <= states and len(heads) > 20
+    assert not world.agreed() and node.follower.counts.syncs == 1
+
+
+def test_a_flipped_entry_is_found_and_mended_and_nothing_else_is_fetched() -> None:
+    world = World(1, (0.001, 0.02))
+    for number in range(400):
+        world.truth.put(0, "", [("tenant", f"old-{number}", value(number))])
+    fleet(world, 3)
+    world.run(5)
+    node = world.nodes["server-0"]
+    assert node.follower is not None and not world.agreed()
+    pages = node.follower.counts.pages
+    world.checks = False
+    node.copy.table.put([Entry("", "tenant", "old-7", value(8))])
+    node.copy.table.put([Entry("", "tenant", "old-9", None)])
+    node.copy.table.put([Entry("a", "tenant", "stranger", value(8))])
+    world.run(3)
+    assert not world.agreed() and node.follower.counts.mended == 403
+    assert node.follower.counts.pages - pages <= 6 and node.follower.counts.settled == 2
+    world.run(20)
+    assert node.follower.counts.settled == 2
+
+
+def test_a_flipped_entry_of_a_relay_is_mended_below_it_too() -> None:
+    world = World(1, (0.001, 0.02))
+    for number in range(50):
+        world.truth.put(0, "", [("tenant", f"old-{number}", value(number))])
+    fleet(world, 3, 3, 3)
+    world.run(8)
+    assert not world.agreed()
+    world.checks = False
+    for at, name in enumerate(["relay-a0", "relay-b1"]):
+        world.nodes[name].copy.table.put([Entry("", "tenant", f"old-{at}", value(77))])
+    world.run(15)
+    assert not world.agreed()
+
+
+def test_a_follower_whose_place_fell_out_of_the_log_syncs_anew() -> None:
+    world = World(1, (0.001, 0.02), log_most=16)
+    fleet(world, 1, 1)
+    world.run(5)
+    node = world.nodes["server-0"]
+    assert node.follower is not None
+    world.cut = {("control-a0", "server-0")}
+    for _ in range(40):
+        change(world)
+        world.run(0.1)
+    assert node.follower.state is State.ALONE and node.follower.counts.syncs == 1
+    world.cut.clear()
+    world.run(5)
+    assert not world.agreed() and node.follower.counts.syncs == 2
+
+
+def test_a_later_epoch_is_taken_by_a_sync_and_an_older_one_never() -> None:
+    world = World(1, (0.001, 0.02))
+    fleet(world, 2, 2)
+    for _ in range(9):
+        change(world)
+    world.run(5)
+    world.nodes["control-b1"].store = False  # stays at the older one
+    world.truth.restore(world.now, 3)
+    change(world)
+    world.run(40)
+    assert not world.agreed(["server-0", "server-1", "control-a0"])
+    assert {world.nodes[f"server-{at}"].follower.upstream.name for at in (0, 1)} == {"control-a0"}  # type: ignore[union-attr]
+    world.cut = {("control-a0", f"server-{at}") for at in (0, 1)}
+    world.run(30)
+    refused = [node.follower.counts.refused for node in world.nodes.values() if node.follower]
+    assert all(one["an older epoch"] for one in refused) and not world.agreed(["server-0", "server-1"])
+
+
+def test_another_history_of_an_epoch_is_refused_and_what_is_in_force_stays() -> None:
+    world = World(1, (0.001, 0.02))
+    fleet(world, 1, 1)
+    change(world)
+    world.run(5)
+    node, control = world.nodes["server-0"], world.nodes["control-a0"]
+    held = node.copy.table.digest()
+    world.checks = False
+    other = Truth()
+    other.put(0, "", [("tenant", "other", value(1))])
+    control.copy = Copy(Table(None), [SIGN])
+    control.copy.begin(first_head(1, 0))
+    assert control.copy.take(other.changes[1, 1]) is None and control.source is not None
+    control.source.copy, control.store = control.copy, False
+    world.nodes["control-a0"].turn = lambda: None  # type: ignore[method-assign]
+    world.run(30)
+    assert node.follower is not None and node.follower.state is State.ALONE
+    assert node.follower.counts.refused["another history of this epoch"] > 5
+    assert node.copy.table.digest() == held and (node.follower.age(world.now) or 0) > 25_000
+
+
+# Whom to follow.
+
+
+def test_preference_is_by_region_and_spreads_a_lost_ones_followers() -> None:
+    ups = [Upstream(f"c{at}", "abc"[at % 3], ("10.0.0.1", at)) for at in range(19)]
+    firsts = [preferred(f"s{at}", "a", ups) for at in range(600)]
+    assert all([one.region for one in found][:7] == ["a"] * 7 for found in firsts)
+    counts = {name: sum(found[0].name == name for found in firsts) for name in {found[0].name for found in firsts}}
+    assert len(counts) == 7 and max(counts.values()) < 130 and min(counts.values()) > 50
+    lost = [found for found in firsts if found[0].name == "c0"]
+    nexts = {found[1].name for found in lost}
+    assert len(nexts) == 6
+    assert preferred("c0", "a", ups)[0].name != "c0" and len(preferred("c0", "a", ups)) == 18
+
+
+def upstream_of(world: World, name: str = "server-0") -> str:
+    follower = world.nodes[name].follower
+    assert follower is not None
+    return follower.upstream.name
+
+
+def test_fail_over_and_the_way_back_to_the_preferred() -> None:
+    world = World(1, (0.001, 0.02))
+    fleet(world, 3)
+    world.run(15)  # a control machine that had not read its store yet sent it on
+    first = upstream_of(world)
+    assert first == "control-a0"
+    world.nodes[first].up = False
+    world.run(6)
+    assert upstream_of(world) != first
+    change(world)
+    world.run(2)
+    assert not world.agreed(["server-0"])
+    world.nodes[first].start()
+    world.run(13)
+    assert upstream_of(world) == first and not world.agreed()
+    other = world.nodes["control-b1"].source
+    assert other is not None
+    world.run(5)
+    assert "server-0" not in other.followers
+
+
+def test_a_full_source_sends_newcomers_on_and_keeps_those_it_has() -> None:
+    world = World(1, (0.001, 0.02), terms=Terms(followers_most=4))
+    names = ["control-a0", "control-b1", "control-c2"]
+    for name in names:
+        world.add(name, name[8], control=True)
+    for at in range(12):
+        world.add(f"server-{at}", "a", names)
+    world.run(15)
+    assert not world.agreed()
+    sources = [world.nodes[name].source for name in names]
+    assert [len(one.followers) for one in sources if one] == [4, 4, 4] and sources[0] and sources[0].counts.redirects > 7
+    held = {name: upstream_of(world, name) for name in world.nodes if name.startswith("server")}
+    world.run(40)
+    assert held == {name: upstream_of(world, name) for name in held}
+    for _ in range(3):
+        change(world)
+    world.run(3)
+    assert not world.agreed()
+
+
+def test_too_many_for_all_sources_are_not_asked_round_and_round() -> None:
+    world = World(1, (0.001, 0.002), terms=Terms(followers_most=1))
+    for name in ("control-a0", "control-b1"):
+        world.add(name, name[8], control=True)
+    for at in range(3):
+        world.add(f"server-{at}", "a", ["control-a0", "control-b1"])
+    world.run(5)
+    before = world.spend()
+    world.run(20)
+    sent = sorted(world.nodes[f"server-{at}"].spent[0] - before[f"server-{at}"][0] for at in range(3))
+    assert sent[-1] < 20 * 6, sent
+
+
+def test_a_source_that_leaves_sends_its_followers_on_at_once() -> None:
+    world = World(1, (0.001, 0.02))
+    fleet(world, 3)
+    world.run(5)
+    control = world.nodes["control-a0"]
+    assert control.source is not None
+    control.source.leave()
+    control.done()
+    world.run(0.5)
+    assert upstream_of(world) != "control-a0"
+    world.run(12)
+    assert upstream_of(world) != "control-a0" and not control.source.followers
+
+
+def test_alone_keeps_what_is_in_force_and_the_age_grows_and_is_told() -> None:
+    world = World(1, (0.001, 0.02))
+    fleet(world, 3)
+    for _ in range(5):
+        change(world)
+    world.run(5)
+    node = world.nodes["server-0"]
+    assert node.follower is not None and (node.follower.age(world.now) or 0) < 1500
+    held, before = node.copy.table.digest(), node.copy.head
+    world.cut = {(name, "server-0") for name in world.nodes}
+    for _ in range(30):
+        change(world)
+        world.run(1)
+    assert node.follower.state is State.ALONE and node.copy.table.digest() == held and node.copy.head == before
+    told = summary(node.follower, world.now)
+    assert told["state"] == "alone" and 29_000 < (node.follower.age(world.now) or 0) < 32_000
+    assert told["age_ms"] == node.follower.age(world.now)
+    world.cut.clear()
+    taken = node.follower.counts.taken
+    world.run(4)
+    assert not world.agreed() and node.follower.counts.taken - taken == 30 and node.follower.counts.syncs == 1
+    assert (node.follower.age(world.now) or 0) < 1500
+
+
+def test_the_age_of_a_source_that_lost_its_store_reaches_its_followers_who_find_a_fresher_one() -> None:
+    world = World(1, (0.001, 0.02))
+    fleet(world, 3)
+    world.run(5)
+    world.nodes["control-a0"].store = False
+    change(world)
+    world.run(12)
+    assert upstream_of(world) != "control-a0" and not world.agreed(["server-0", "server-1", "server-2"])
+    world.nodes["control-a0"].store = True
+    world.run(15)
+    assert upstream_of(world) == "control-a0"
+    for node in world.nodes.values():
+        node.store = False
+    world.run(60)
+    ages = [node.follower.age(world.now) or 0 for node in world.nodes.values() if node.follower]
+    assert min(ages) > 59_000 and max(ages) < 63_000
+
+
+def test_one_that_stood_still_for_minutes_is_right_again() -> None:
+    world = World(1, (0.001, 0.02))
+    fleet(world, 3)
+    world.run(5)
+    node = world.nodes["server-0"]
+    node.paused = True
+    for _ in range(180):
+        change(world)
+        world.run(1)
+    assert node.follower is not None
+    assert (node.follower.age(world.now) or 0) >= 179_000
+    node.wake()
+    assert (node.follower.age(world.now) or 0) >= 170_000  # until new words come
+    world.run(5)
+    assert not world.agreed() and (node.follower.age(world.now) or 0) < 1500
+
+
+def test_a_source_started_again_behind_its_followers_never_takes_them_back() -> None:
+    world = World(1, (0.001, 0.02))
+    fleet(world, 1, 1)
+    for _ in range(9):
+        change(world)
+    world.run(5)
+    node, control = world.nodes["server-0"], world.nodes["control-a0"]
+    before = node.copy.head
+    control.start()
+    control.store = False
+    control.copy.begin(first_head(1, 0))
+    for number in (1, 2, 3, 4):
+        assert control.copy.take(world.truth.changes[1, number]) is None
+    control.seen = (1, 4)
+    world.run(20)
+    assert node.copy.head == before and node.follower is not None and (node.follower.age(world.now) or 0) > 18_000
+    assert node.follower.counts.syncs == 1
+    control.store = True
+    change(world)
+    world.run(3)
+    assert not world.agreed() and (node.follower.age(world.now) or 0) < 1500
+
+
+def test_a_relay_of_three_levels() -> None:
+    world = World(1, (0.001, 0.05), 0.01)
+    world.add("control-a0", "a", control=True)
+    for level, above in enumerate(["control-a0", "relay-0", "relay-1"]):
+        world.add(f"relay-{level}", "", [above], relays=True)
+    for at in range(3):
+        world.add(f"server-{at}", "", ["relay-2"])
+    for _ in range(60):
+        change(world)
+        world.run(0.25)
+    world.run(8)
+    assert not world.agreed()
+    ages = [world.nodes[name].follower.age(world.now) for name in ("relay-0", "relay-1", "relay-2", "server-0")]  # type: ignore[union-attr]
+    assert max(age or 10**6 for age in ages) < 6000
+    world.cut = {("control-a0", "relay-0")}
+    world.run(60)
+    follower = world.nodes["server-0"].follower
+    assert follower is not None and 59_000 < (follower.age(world.now) or 0) < 66_000
+    told = summary_of_source(world.nodes["relay-2"].source, world.now)  # type: ignore[arg-type]
+    assert told["followers"] == 3 and told["age_ms"] == world.nodes["relay-2"].follower.age(world.now)  # type: ignore[union-attr]
+
+
+def test_a_relay_refuses_scopes_that_it_does_not_hold() -> None:
+    world = World(1, (0.001, 0.02))
+    world.add("control-a0", "a", control=True)
+    world.add("relay-a", "a", ["control-a0"], relays=True)
+    world.add("server-b", "b", ["relay-a", "control-a0"])
+    world.run(8)
+    assert upstream_of(world, "server-b") == "control-a0" and not world.agreed()
+
+
+# Strangers.
+
+
+def pair() -> tuple[Source, Follower]:
+    one, two = empty(None), Copy(Table(("", "a")), [SIGN])
+    source = Source(one, "source", LIFE, (SEAL,), Terms(), Random(1), NOW, lambda now: 0)
+    follower = Follower(two, "server", LIFE, "a", [Upstream("source", "a", HERE)], (SEAL,), Terms(), Random(1), NOW)
+    return source, follower
+
+
+def exchange(source: Source, follower: Follower, now: int) -> list[bytes]:
+    """All that is said until it is quiet."""
+    said = []
+    follower.tick(now)
+    while follower.out or source.out:
+        while follower.out:
+            said.append(follower.out.popleft()[1])
+            source.hear(now, said[-1], HERE)
+        while source.out:
+            said.append(source.out.popleft()[1])
+            follower.hear(now, said[-1], HERE)
+    return said
+
+
+def test_strangers_change_nothing_and_are_counted_with_the_reason() -> None:
+    source, follower = pair()
+    exchange(source, follower, NOW)
+    assert follower.state is State.CURRENT
+    before = follower.copy.head, follower.copy.table.digest(), follower.state
+    good = seal(Sender("source", LIFE, 0), m.Pushed(history(1)[0]), SEAL)
+    text = msgpack.packb([0, 9, "n", 1, 1])
+    for data, reason in [(seal(Sender("source", LIFE, 0), m.Pushed(history(1)[0]), b"another key" * 2), "not sealed with our key"),
+            (m.mark_of(SEAL, text) + text, "an older version"), (good + b"x" * 1400, "too long"), (good[:-1], "not sealed with our key"),
+            (b"", "too short"), (seal(Sender("source", LIFE, 0), m.Pull(1, 1, 1), SEAL), "nothing for a follower"),
+            (seal(Sender("source", LIFE, 5), m.Told(first_head(9, 0), 0, False, 0), SEAL), "a HEAD that was not asked for"),
+            (seal(Sender("other", LIFE, 5), m.Told(first_head(9, 0), 0, False, 0), SEAL), "a HEAD of another"),
+            (seal(Sender("source", LIFE, 5), m.Redirect("full"), SEAL), "a REDIRECT that was not asked for"),
+            (seal(Sender("source", LIFE - 1, 0), m.Redirect("leaving"), SEAL), "a REDIRECT that was not asked for"),
+            (seal(Sender("source", LIFE, 5), m.Digests(first_head(9, 0), 0, (0,) * 128), SEAL), "DIGESTS that were not asked for"),
+            (seal(Sender("source", LIFE, 0), m.Pushed(history(1, epoch=2)[0]), SEAL), "a change of another epoch")]:
+        was = follower.counts.refused.get(reason, 0)
+        follower.hear(NOW, data, HERE)
+        assert follower.counts.refused.get(reason) == was + 1 and follower.refusals[-1] == (reason, HERE)
+        assert (follower.copy.head, follower.copy.table.digest(), follower.state) == before
+    follower.hear(NOW, good, HERE)
+    assert follower.copy.head == head_of(history(1)[0])
+
+
+def test_requests_played_again_are_answered_once() -> None:
+    source, follower = pair()
+    said = [data for data in exchange(source, follower, NOW) if to_source(data)]
+    for data in said:
+        source.hear(NOW, data, ("10.9.9.9", 9))
+    assert not source.out and sum(source.counts.refused.values()) == len(said)
+    assert source.followers["server"].address == HERE
+    stranger = Sender("nobody", LIFE, 1)
+    for body in (m.Pull(1, 0, 32), m.DigestsAsk(), m.PagesAsk(0, None, 4), m.Bye()):
+        source.hear(NOW, seal(stranger, body, SEAL), HERE)
+    source.hear(NOW, seal(Sender("server", LIFE - 1, 1), m.Report(None, 1, 1, 1), SEAL), HERE)
+    assert not source.out and source.counts.refused["an older life"] == 1 and "server" in source.followers
+
+
+def test_an_answer_to_an_earlier_life_says_nothing_to_a_later_one() -> None:
+    source, follower = pair()
+    answers = [data for data in exchange(source, follower, NOW) if not to_source(data)]
+    later = Follower(Copy(Table(("", "a")), [SIGN]), "server", LIFE + 5, "a", [Upstream("source", "a", HERE)], (SEAL,),
+        Terms(), Random(1), NOW)
+    later.tick(NOW)
+    for data in answers:
+        later.hear(NOW, data, HERE)
+    assert later.state is State.EMPTY and later.age(NOW) is None
+
+
+def test_what_waits_and_what_is_counted_is_bounded() -> None:
+    source, follower = pair()
+    exchange(source, follower, NOW)
+    for one in history(1000)[1:]:
+        follower.hear(NOW, seal(Sender("source", LIFE, 0), m.Pushed(one), SEAL), HERE)
+    assert len(follower.early) == 256 and follower.state is State.BEHIND
+    for number in range(200):
+        follower.refuse(f"reason {number}", HERE)
+        source.refuse(f"reason {number}", HERE)
+    assert len(follower.counts.refused) <= 65 and len(source.counts.refused) <= 65 and len(follower.refusals) == 32
+    for at in range(1000):
+        source.hear(NOW, seal(Sender(f"s{at}", LIFE, 1), m.Report(None, 1, 1, 1), SEAL), HERE)
+    assert len(source.followers) == 400
+    for number in range(40):
+        follower.pulled_at = -1
+        follower.pull(NOW)
+        for _ in range(20):
+            follower.report(NOW)
+    assert len(follower.out) <= 256 and len(follower.reports) <= 4 and follower.counts.dropped
+
+
+def test_pages_keep_to_their_rate() -> None:
+    source, _ = pair()
+    source.terms = Terms(page_rate=10_000, page_burst=5000)
+    source.tokens = 5000.0
+    source.copy.table.put([Entry("", "tenant", f"t{at}", msgpack.packb({"x": "y" * 400})) for at in range(250)])
+    source.hear(NOW, seal(Sender("s", LIFE, 1), m.Report(None, 0, 0, 0), SEAL), HERE)
+    heard = 0
+    for number in range(300):
+        source.followers["s"].until = NOW + 10**12
+        source.hear(NOW + number * 10 * MS, seal(Sender("s", LIFE, 2 + number), m.PagesAsk(number % 256, None, 4), SEAL), HERE)
+        while source.out:
+            heard += len(source.out.popleft()[1])
+    assert heard < 5000 + 10_000 * 3 + 1400 and source.counts.held_back
+
+
+def test_terms_and_upstreams_that_cannot_be_are_refused() -> None:
+    assert Terms().faults() == []
+    assert Terms(retry=3000 * MS, beat=0).faults() == ["beat: 0, 1 at least", "retry: not under silence"]
+    with pytest.raises(ValueError, match="0 upstreams"):
+        Follower(empty(), "s", LIFE, "a", [], (SEAL,), Terms(), Random(1), NOW)
+
+
+def test_the_table_of_states_is_whole() -> None:
+    """Each state knows what to do when its upstream speaks or is lost; the others matter where something is on its way."""
+    for state in State:
+        assert (state, Input.HEAD) in RULES and (state, Input.LOST) in RULES
+    met = set()
+    world = World(5, (0.001, 0.15), 0.1, log_most=8)
+    for number in range(400):
+        world.truth.put(0, "", [("tenant", f"old-{number}", value(number))])
+    fleet(world, 6)
+    was = Follower.meet
+
+    def meet(self: Follower, now: int, what: Input) -> None:
+        met.add((self.state, what))
+        was(self, now, what)
+    Follower.meet = meet  # type: ignore[method-assign]
+    try:
+        for _ in range(200):
+            change(world)
+            happens(world, world.chance.choice(list(world.nodes.values())))
+            world.run(world.chance.choice([0.1, 0.3, 1, 2]))
+        heal(world)
+        for _ in range(40):  # newcomers while much changes, and control machines that go
+            node, control = world.nodes["server-0"], world.nodes[f"control-{world.chance.choice(['a0', 'b1', 'c2'])}"]
+            node.start()
+            control.up = world.chance.random() < 0.5
+            if control.up:
+                control.start()
+            for _ in range(60):
+                change(world)
+                world.run(0.05)
+    finally:
+        Follower.meet = was  # type: ignore[method-assign]
+    assert met >= set(RULES), set(RULES) - met
