--- /dev/null
+++ b/benchmarks/scale.py
@@ -0,0 +1,30 @@
+"""Slopes of what the program costs by size: each command measures some, prints them with their fits and keeps
+them in `benchmarks/slopes.jsonl`.
+
+    python benchmarks/scale.py --help
+"""
+
+import sys
+from pathlib import Path
+
+import click
+
+sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
+
+import scale_configuration  # noqa: E402
+import scale_request  # noqa: E402
+import scale_servers  # noqa: E402
+import scale_table  # noqa: E402
+
+
+@click.group()
+def scale() -> None:
+    """Costs by size."""
+
+
+for command in (scale_configuration.configuration, scale_configuration.routes, scale_request.request,
+                scale_request.during, scale_servers.servers, scale_table.table):
+    scale.add_command(command)
+
+if __name__ == "__main__":
+    scale()
