--- a/burlloom/distribution/table.py
+++ b/burlloom/distribution/table.py
@@ -6,8 +6,8 @@
     count (2 bytes), length of the keys' part (2), length of each value (2 each), keys, values
 
 Keys stand between bytes 0xFF, which UTF-8 never has, so one search of the keys' part finds a key or tells
-that it is not there. A change rewrites the leaves that it touches and no other: nothing is ever hashed anew as a
-whole. `benchmarks/scale_table.py` measures it beside plain dicts, SQLite in memory and sorted arrays.
+that it is not there. A change rewrites the leaves that it touches and no other: nothing is ever hashed anew
+as a whole. `benchmarks/scale_table.py` measures it beside plain dicts, SQLite in memory and sorted arrays.
 
 Digests (XOR of the entries' xxh3) tell of slips between copies; they keep no stranger out.
 """
@@ -18,23 +18,20 @@
 from dataclasses import dataclass
 from itertools import pairwise
 from struct import Struct
-from typing import NamedTuple
 
 import msgpack
 import xxhash
 
-KINDS = ("route", "setting", "tenant")  # in the order of their codes in a leaf's keys
-KEY_BYTES = 128
-VALUE_BYTES = 512
-SCOPE_BYTES = 64
-SCOPES_MOST = 64  # of one table that holds all of them: an operator has regions, not thousands
+from .changes import KEY_MOST, KINDS, SCOPE_MOST, VALUE_MOST, Entry
+
 BUCKETS = 256
+SCOPES_MOST = 64  # of one table that holds all of them: an operator has regions, not thousands
 PUT_MOST = 256  # entries of one `put`: a change has 64, and no page of a datagram's size has more
 LEAF_MOST = 64  # entries: more make a change dearer, fewer make each entry's part of a leaf's object larger
 LEAF_LEAST = 16  # a leaf that has fewer is joined with its neighbour
-ENTRY_BYTES = 1 + 2 + SCOPE_BYTES + 1 + 7 + 2 + KEY_BYTES + 3 + VALUE_BYTES  # one in a page, as MessagePack
+ENTRY_BYTES = 1 + 2 + SCOPE_MOST + 1 + 7 + 2 + KEY_MOST + 3 + VALUE_MOST  # one in a page, as MessagePack
 
-CODES = {kind: bytes([ord(kind[0])]) for kind in KINDS}
+CODES = {kind: kind[:1].encode() for kind in KINDS}  # in the order of the names
 NAMES = {code[0]: kind for kind, code in CODES.items()}
 BETWEEN = b"\xff"
 HEAD = Struct("<HH")
@@ -42,19 +39,6 @@
 Place = tuple[str, str, str]  # scope, kind, key
 
 
-class Entry(NamedTuple):
-    """`scope`: "" or a region; `value`: MessagePack of a map, None where the entry is deleted."""
-
-    scope: str
-    kind: str
-    key: str
-    value: bytes | None
-
-    @property
-    def place(self) -> Place:
-        return self.scope, self.kind, self.key
-
-
 @dataclass(frozen=True, slots=True)
 class Page:
     """Entries of one bucket in the order of (scope, kind, key); `last`: the place of the last one, None if
@@ -77,7 +61,7 @@
 def faults(entry: Entry) -> list[str]:
     """Why an entry can't be held, each with its field; empty if it can."""
     found = []
-    for name, text, least, most in (("scope", entry.scope, 0, SCOPE_BYTES), ("key", entry.key, 1, KEY_BYTES)):
+    for name, text, least, most in (("scope", entry.scope, 0, SCOPE_MOST), ("key", entry.key, 1, KEY_MOST)):
         try:
             length = len(text.encode())
         except (AttributeError, UnicodeEncodeError):
@@ -86,11 +70,11 @@
             if not least <= length <= most:
                 found.append(f"{name}: {length} bytes, {least} to {most} allowed")
     if type(entry.kind) is not str or entry.kind not in CODES:
-        found.append(f"kind: {entry.kind!r:.40} is none of {', '.join(KINDS)}")
+        found.append(f"kind: {entry.kind!r:.40} is none of {', '.join(sorted(KINDS))}")
     if entry.value is not None and type(entry.value) is not bytes:
         found.append("value: not bytes")
-    elif entry.value is not None and len(entry.value) > VALUE_BYTES:
-        found.append(f"value: {len(entry.value)} bytes, at most {VALUE_BYTES} allowed")
+    elif entry.value is not None and len(entry.value) > VALUE_MOST:
+        found.append(f"value: {len(entry.value)} bytes, at most {VALUE_MOST} allowed")
     return found
 
 
@@ -293,22 +277,22 @@
 
     def digest(self) -> int:
         """Of all entries held."""
-        return self.digest_of(self.parts)
+        return self.digest_of(None)
 
     def digests(self) -> tuple[int, ...]:
         """Of each of the 256 buckets, over the scopes held."""
-        return self.digests_of(self.parts)
+        return self.digests_of(None)
 
-    def digest_of(self, scopes: Iterable[str]) -> int:
-        """Over those of these scopes that are held."""
+    def digest_of(self, scopes: Iterable[str] | None) -> int:
+        """Over those of these scopes that are held; None: all of them."""
         whole = 0
-        for scope in set(scopes):
-            if scope in self.parts:
-                whole ^= self.parts[scope].digest
+        for part in self.among(scopes):
+            whole ^= part.digest
         return whole
 
-    def digests_of(self, scopes: Iterable[str]) -> tuple[int, ...]:
-        held = [self.parts[scope].digests for scope in set(scopes) if scope in self.parts]
+    def digests_of(self, scopes: Iterable[str] | None) -> tuple[int, ...]:
+        """As `digest_of`, of each bucket."""
+        held = [part.digests for part in self.among(scopes)]
         if len(held) == 1:
             return tuple(held[0])
         whole = [0] * BUCKETS
@@ -316,25 +300,29 @@
             whole = [a ^ b for a, b in zip(whole, digests, strict=True)]
         return tuple(whole)
 
-    def page(self, bucket: int, after: Place | None, scopes: Iterable[str], most_bytes: int) -> Page:
-        """The bucket's next entries of these scopes behind `after`, of at most so many bytes as MessagePack,
-        each a list of scope, kind, key and value. Raises `ValueError` for a bucket that is none, or where not
-        even one entry is sure to have room."""
+    def among(self, scopes: Iterable[str] | None) -> list[Part]:
+        held = self.parts.keys()
+        return [self.parts[scope] for scope in (held if scopes is None else held & set(scopes))]
+
+    def page(self, bucket: int, after: Place | None, scopes: Iterable[str] | None, most_bytes: int) -> Page:
+        """The bucket's next entries of these scopes (None: all) behind `after`, of at most so many bytes as
+        MessagePack, each a list of scope, kind, key and value. Raises `ValueError` for a bucket that is none, or
+        where not even one entry is sure to have room."""
         no_place(after)
         if not 0 <= bucket < BUCKETS or most_bytes < ENTRY_BYTES:
-            raise ValueError(f"bucket {bucket} of {BUCKETS}, {most_bytes} bytes, at least {ENTRY_BYTES} wanted")
+            raise ValueError(f"bucket {bucket} of {BUCKETS}; {most_bytes} bytes, {ENTRY_BYTES} at least")
         found: list[Entry] = []
         left = most_bytes
-        for scope in sorted(set(scopes)):
-            if scope not in self.parts or after is not None and scope < after[0]:
+        for scope in sorted(self.parts if scopes is None else set(scopes) & self.parts.keys()):
+            if after is not None and scope < after[0]:
                 continue
             start = inner(after) if after is not None and scope == after[0] else b""
             for key, value in self.parts[scope].buckets[bucket].after(start):
                 left -= len(scope.encode()) + len(key) + len(value) + 16  # headers, rest of the kind's name
                 if left < 0:
-                    return Page(tuple(found), found[-1].place, False)
+                    return Page(tuple(found), found[-1][:3], False)
                 found.append(told(scope, key, value))
-        return Page(tuple(found), found[-1].place if found else None, True)
+        return Page(tuple(found), found[-1][:3] if found else None, True)
 
     def replace(self, bucket: int, after: Place | None, page: Page) -> int:
         """Makes what stands behind `after` up to `page.last` (to the bucket's end if the page is its last)
@@ -345,10 +333,10 @@
         for number, entry in enumerate(taken):
             words = (("deletes", entry.value is None),
                      ("is of another bucket", bucket_of(entry.kind, entry.key) != bucket),
-                     ("is not behind the one before", before is not None and entry.place <= before))
-            wrong += [f"entries[{number}]: {entry.place!r:.80} {word}" for word, true in words if true]
-            before = entry.place
-        if page.last != (taken[-1].place if taken else None):
+                     ("is not behind the one before", before is not None and entry[:3] <= before))
+            wrong += [f"entries[{number}]: {entry[:3]!r:.80} {word}" for word, true in words if true]
+            before = entry[:3]
+        if page.last != (taken[-1][:3] if taken else None):
             wrong.append("last: is not the last entry")
         if not taken and not page.done:
             wrong.append("done: a page of nothing that is not the last")
@@ -435,7 +423,8 @@
 
 class Tenants(Mapping[str, float]):
     """The tenants in force, each with its portion of the service, as a view of a table that changes under it.
-    What is not text is in no table. Raises `ValueError` for a portion of a value that is no map with a number."""
+    What is not text is in no table. Raises `ValueError` for a value that is no map, or whose portion is no
+    number."""
 
     def __init__(self, table: Table) -> None:
         self.table = table
--- a/tests/test_distribution_table.py
+++ b/tests/test_distribution_table.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies as st
 
 from burlloom.distribution import table as module
-from burlloom.distribution.table import (BUCKETS, ENTRY_BYTES, KEY_BYTES, KINDS, PUT_MOST, SCOPE_BYTES,
-                                         SCOPES_MOST, VALUE_BYTES, Entry, Page, Table, Tenants, bucket_of,
-                                         digest_of_entry)
+from burlloom.distribution.changes import KEY_MOST, KINDS, SCOPE_MOST, VALUE_MOST, Entry
+from burlloom.distribution.table import (BUCKETS, ENTRY_BYTES, PUT_MOST, SCOPES_MOST, Page, Table, Tenants,
+                                         bucket_of, digest_of_entry)
 
 REGION = "north"
 SCOPES = ("", REGION)
@@ -40,9 +40,9 @@
     def put(self, entries: Iterable[Entry]) -> None:
         for entry in entries:
             if entry.value is None:
-                self.rows.pop(entry.place, None)
+                self.rows.pop(entry[:3], None)
             else:
-                self.rows[entry.place] = entry.value
+                self.rows[entry[:3]] = entry.value
 
     def get(self, kind: str, key: str) -> bytes | None:
         for scope in sorted(self.scopes, reverse=True):  # the region before ""
@@ -62,12 +62,12 @@
         return tuple(whole)
 
 
-def whole(table: Table, bucket: int, scopes: Iterable[str], most: int = ENTRY_BYTES) -> list[Entry]:
+def whole(table: Table, bucket: int, scopes: Iterable[str] | None, most: int = ENTRY_BYTES) -> list[Entry]:
     found: list[Entry] = []
     after = None
     while True:
         page = table.page(bucket, after, scopes, most)
-        assert page.last == (page.entries[-1].place if page.entries else None)
+        assert page.last == (page.entries[-1][:3] if page.entries else None)
         assert sum(len(msgpack.packb(entry)) for entry in page.entries) <= most
         found += page.entries
         if page.done:
@@ -88,12 +88,12 @@
         for digest in model.digests(scopes):
             whole_digest ^= digest
         assert table.digest_of(scopes) == whole_digest
-    assert table.digests() == model.digests(SCOPES)
-    assert table.digest() == table.digest_of(SCOPES)
+    assert table.digests() == model.digests(SCOPES) == table.digests_of(None)
+    assert table.digest() == table.digest_of(SCOPES) == table.digest_of(None)
 
 
 key = st.one_of(st.sampled_from(CROWDED), st.text(st.characters(codec="utf-8"), min_size=1, max_size=8))
-value = st.one_of(st.none(), st.binary(max_size=40), st.just(b"\xfft1\xff"), st.just(b"x" * VALUE_BYTES))
+value = st.one_of(st.none(), st.binary(max_size=40), st.just(b"\xfft1\xff"), st.just(b"x" * VALUE_MOST))
 entry = st.builds(Entry, st.sampled_from(SCOPES), st.sampled_from(KINDS), key, value)
 crowd = st.builds(lambda scope, start, count, value: [Entry(scope, "tenant", one, value)
                                                       for one in CROWDED[start:start + count]],
@@ -110,7 +110,7 @@
         table.put(entries)
         model.put(entries)
     same(table, model)
-    named = {one.place[1:] for entries in history for one in entries}
+    named = {one[1:3] for entries in history for one in entries}
     for one in named | {("tenant", one) for one in CROWDED[:9]}:
         assert table.get(*one) == model.get(*one)
         assert table.has(*one) == (model.get(*one) is not None)
@@ -119,7 +119,7 @@
     for bucket in {7} | {bucket_of(*place[1:]) for place in model.rows}:
         for scopes in (("",), (REGION,), SCOPES):
             assert whole(table, bucket, scopes) == model.bucket(bucket, scopes)
-    assert whole(table, 7, SCOPES, 1_300) == model.bucket(7, SCOPES)
+    assert whole(table, 7, SCOPES, 1_300) == whole(table, 7, None) == model.bucket(7, SCOPES)
 
 
 @settings(max_examples=100, deadline=None)
@@ -164,7 +164,7 @@
     page = there.page(7, after, SCOPES, ENTRY_BYTES)
     here.replace(7, after, page)
     outside = [one for one in model.bucket(7, SCOPES)
-               if one.place <= after or not page.done and page.last is not None and one.place > page.last]
+               if one[:3] <= after or not page.done and page.last is not None and one[:3] > page.last]
     expected = sorted([*outside, *page.entries])
     assert whole(here, 7, SCOPES) == expected
 
@@ -190,16 +190,16 @@
 
 
 @pytest.mark.parametrize("wrong, reason", [
-    (Entry("", "tenant", "k" * (KEY_BYTES + 1), b""), "key: 129 bytes, 1 to 128 allowed"),
+    (Entry("", "tenant", "k" * (KEY_MOST + 1), b""), "key: 129 bytes, 1 to 128 allowed"),
     (Entry("", "tenant", "é" * 65, b""), "key: 130 bytes"),
     (Entry("", "tenant", "", b""), "key: 0 bytes"),
     (Entry("", "tenant", "\ud800", b""), "key: not text of UTF-8"),
     (Entry("", "tenant", 7, b""), "key: not text of UTF-8"),  # type: ignore[arg-type]
-    (Entry("", "tenant", "k", b"v" * (VALUE_BYTES + 1)), "value: 513 bytes, at most 512 allowed"),
+    (Entry("", "tenant", "k", b"v" * (VALUE_MOST + 1)), "value: 513 bytes, at most 512 allowed"),
     (Entry("", "tenant", "k", "text"), "value: not bytes"),  # type: ignore[arg-type]
     (Entry("", ["route"], "k", b""), "kind: ['route'] is none of"),  # type: ignore[arg-type]
     (Entry("", "caller", "k", b""), "kind: 'caller' is none of route, setting, tenant"),
-    (Entry("s" * (SCOPE_BYTES + 1), "tenant", "k", b""), "scope: 65 bytes"),
+    (Entry("s" * (SCOPE_MOST + 1), "tenant", "k", b""), "scope: 65 bytes"),
     (Entry("south", "tenant", "k", b""), "scope: 'south' is not held here")])
 def test_what_cant_be_held_is_refused_whole_with_its_place(wrong: Entry, reason: str) -> None:
     table = Table(SCOPES)
@@ -225,9 +225,9 @@
 
 def test_the_largest_entries_fill_a_leaf_and_a_page() -> None:
     table, model = Table(None), Model(("",))
-    names = (f"{n}".ljust(KEY_BYTES, "z") for n in range(60_000))
+    names = (f"{n}".ljust(KEY_MOST, "z") for n in range(60_000))
     keys = [one for one in names if bucket_of("tenant", one) == 3][:150]
-    entries = [Entry("", "tenant", one, b"\xff" * VALUE_BYTES) for one in keys]
+    entries = [Entry("", "tenant", one, b"\xff" * VALUE_MOST) for one in keys]
     table.put(entries)
     model.put(entries)
     assert whole(table, 3, ("",)) == model.bucket(3, ("",))
