--- a/benchmarks/scale_table.py
+++ b/benchmarks/scale_table.py
@@ -6,8 +6,8 @@
 Each way and size has a process of its own. Entries are 64 tenants to 36 routes, keys of 12 to 40 bytes,
 values as MessagePack maps of 10 to 60. All ways are filled by changes of 64 in an order of chance, the
 dearest for what is sorted; `pages` fills the table bucket by bucket, as a newcomer does. Figures: resident
-memory beyond the empty process, processor time of a lookup (half of them of keys that are not there), of a change of 64 entries
-(half of them new), of a page of 1,300 bytes, of the whole fill, and of the longest single step of it (the
+memory beyond the empty process, processor time of a lookup (half of them of keys that are not there), of a
+change of 64 entries (half of them new), of a page of 1,300 bytes, of the whole fill, and of the longest single step of it (the
 collector is off, as nothing here makes cycles). All but the dicts and sorted arrays look in two scopes; all
 check the entries and keep the digests.
 """
--- a/burlloom/distribution/table.py
+++ b/burlloom/distribution/table.py
@@ -306,8 +306,8 @@
 
     def page(self, bucket: int, after: Place | None, scopes: Iterable[str] | None, most_bytes: int) -> Page:
         """The bucket's next entries of these scopes (None: all) behind `after`, of at most so many bytes as
-        MessagePack, each a list of scope, kind, key and value. Raises `ValueError` for a bucket that is none, or where not
-        even one entry is sure to have room."""
+        MessagePack, each a list of scope, kind, key and value. Raises `ValueError` for a bucket that is none, or
+        where not even one entry is sure to have room."""
         no_place(after)
         if not 0 <= bucket < BUCKETS or most_bytes < ENTRY_BYTES:
             raise ValueError(f"bucket {bucket} of {BUCKETS}; {most_bytes} bytes, {ENTRY_BYTES} at least")
