--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -22,9 +22,13 @@
     """Costs by size."""
 
 
-for command in (scale_configuration.configuration, scale_configuration.routes, scale_request.request,
-                scale_request.during, scale_servers.servers, scale_table.table):
-    scale.add_command(command)
+scale.add_command(scale_configuration.configuration)
+scale.add_command(scale_configuration.routes)
+scale.add_command(scale_request.request)
+scale.add_command(scale_request.during)
+scale.add_command(scale_request.deal)
+scale.add_command(scale_servers.servers)
+scale.add_command(scale_table.table)
 
 if __name__ == "__main__":
     scale()
