Capacity: rows of releases, discovery, newcomers and cold starts from their slopes; sums of products

Cause: slopes by servers brought costs that the page had as guesses or not at all. Change: a term may be the product of two slopes and a factor may grow with the size; a fit with a residual over 25% is named where it is all there is. Discovery and the book are from slopes in place of arithmetic.

--- a/burlloom/lab/capacity.py
+++ b/burlloom/lab/capacity.py
@@ -15,8 +15,7 @@
 import numpy as np
 
 from ..fleet.fleet import MEMBERS_MOST
-from ..fleet.letters import NAME_MOST
-from .slopes import KEPT, Row, exponent_word, fit, grown, kept, newest
+from .slopes import KEPT, Row, exponent_word, fit, kept, newest
 
 SERVERS, CALLERS, SERVICES, REGIONS, ZONES, CONTROL = 2_600, 140_000, 3_000, 6, 14, 19
 TENANTS, ROUTES, REQUESTS, CHANGES = 430_000, 240_000, 1_300_000, 35_000  # requests a second, changes a day
@@ -34,6 +33,7 @@
     "changes a second": CHANGES / DAY
 }  # by what a slope's sizes are of
 OPEN, END = re.compile(r"<!-- table: ([a-z0-9 -]+) -->"), "<!-- end -->"
+POOR = 0.25  # a fit with a larger residual is told to be poor where it is all there is
 BUSY = "counts for nothing"  # in the note of a row from a machine that was too busy
 
 
@@ -54,14 +54,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Slope:
-    """A kept row at the coming size of what it is measured by, or at `size`, times `factor`; `why`: what the
-    factor is."""
+    """A kept row at the coming size of what it is measured by, or at `size`, times `factor` and where `times`
+    names one, another row of the same state there; `why`: what the factor is; `grows`: with the size."""
 
     name: str
     state: str
     factor: float = 1.0
     why: str = ""
     size: float | None = None
+    times: str = ""
+    grows: bool = False
 
     def at(self, row: Row) -> float:
         return COMING[row.by] if self.size is None else self.size
@@ -122,6 +124,7 @@
 
 GOSSIP = "gossip in one view of all (burlloom/fleet, SWIM)"
 DEALING = "one dealer answers each report (burlloom/fleet)"
+NAMING = "a datagram each 200 ms (burlloom/naming)"
 RELEASE = "one leader and one book (burlloom/rollout)"
 FILE = "a file a server, read whole at a reload"
 TABLE = "Table: sorted leaves in 256 buckets (burlloom/distribution/table.py)"
@@ -143,7 +146,13 @@
         Need("bytes in churn, both ways", "B/s", (Slope("member bytes", "churn"),), NET, GOSSIP),
         Need("messages sent at rest", "1/s", (Slope("member messages sent", "rest"),), None, GOSSIP),
         Need("memory of a view", "MB", (Slope("view memory", "rest"),), MEMORY, GOSSIP),
-        Need("first exchange of a newcomer", "ms", (Slope("newcomer cpu", "cold"),), None, GOSSIP),
+        Need("first exchange of a newcomer", "ms", (Slope("newcomer cpu", "rest"),), None, GOSSIP),
+        Need("first exchange, bytes", "B", (Slope("newcomer bytes", "rest"),), None, GOSSIP),
+        Need("a whole view asked of a member", "ms", (Slope("host cpu", "rest"),), None, GOSSIP),
+        Need("processor time while all start at once", "ms/s", (Slope("member cpu", "cold"),), None, GOSSIP),
+        Need("bytes while all start at once", "B/s", (Slope("member bytes", "cold"),), None, GOSSIP),
+        Need("all agree after all started at once", "s",
+             (Slope("agree after cold start", "cold"),), None, GOSSIP),
         Need("all agree after a death", "s", (Slope("agree after death", "churn"),), None, GOSSIP),
         Need("processor time, member and follower", "ms/s",
              (Slope("member cpu", "churn"), Slope("follower cpu", "rest")), CORE, f"{GOSSIP}; {CARRIER}",
@@ -161,20 +170,36 @@
         Need("bytes at rest, both ways", "B/s", (Slope("dealer bytes", "rest"),), NET, DEALING),
         Need("bytes in churn, both ways", "B/s", (Slope("dealer bytes", "churn"),), NET, DEALING),
         Need("messages at rest, both ways", "1/s", (Slope("dealer messages", "rest"),), None, DEALING),
+        Need("processor time while all start at once", "ms/s",
+             (Slope("dealer cpu", "cold"),), None, DEALING),
+        Need("memory with the accounts", "MB", (Slope("dealer memory", "rest"),), MEMORY, DEALING),
     )),
     Role("release", "Release leader and book", (
-        Need("processor time of its rounds", "ms/s",
-             (Slope("release round cpu", "rest", 2.0, "a round each poll_ms, 500 ms"),), CORE, RELEASE),
-        Need("the book, bytes", "B", (Slope("book bytes", "rest"),), None, RELEASE),
-        Need("writes of the book", "B/s",
-             (Slope("book bytes", "rest", 3 * RESTARTS / DAY,
-                    f"{RESTARTS:,} restarts a day, 3 steps each"),), NET, RELEASE),
+        Need("processor time of the leader in a release", "ms/s",
+             (Slope("release leader cpu", "rest"),), CORE, RELEASE),
+        Need("one round in a release: its stall", "ms",
+             (Slope("release round cpu", "rest"),), None, RELEASE),
+        Need("one round at rest", "ms", (Slope("release idle round cpu", "rest"),), None, RELEASE),
+        Need("the book", "B", (Slope("book bytes", "rest"),), None, RELEASE),
+        Need("steps of the book in a release", "1/s", (Slope("book steps", "rest"),), None, RELEASE),
+        Need("bytes of the book written in a release", "B/s",
+             (Slope("book bytes", "rest", times="book steps"),), None, RELEASE),
+        Need("bytes of the book read by each server in a release", "B/s",
+             (Slope("book bytes", "rest", 2.0, "a look each poll_ms, 500 ms"),), NET, RELEASE),
+        Need("processor time of that reading", "ms/s",
+             (Slope("book read cpu", "rest", 2.0, "a look each poll_ms, 500 ms"),), CORE, RELEASE),
     )),
     Role("record", "Store of record", (
         Need("commits of the fleet", "1/s",
              (), None, "each server's own store, or PostgreSQL (burlloom/record)"),
-        Need("steps of the book", "1/s",
-             (Given(3 * RESTARTS / DAY, f"3 steps x {RESTARTS:,} restarts / {DAY:,} s"),), None, RELEASE),
+        Need("statements of releases: looks and words", "1/s",
+             (Slope("store statements", "rest"),), None, RELEASE),
+        Need("processor time of words at the store", "ms/s",
+             (Slope("store tell cpu", "rest", SERVERS, f"a word a second of {SERVERS:,} servers",
+                    grows=True),), Budget(1000.0, "ms/s", "one core: SQLite writes one at a time"), RELEASE),
+        Need("processor time of steps at the store in a release", "ms/s",
+             (Slope("store swap cpu", "rest", times="book steps"),),
+             Budget(1000.0, "ms/s", "one core: SQLite writes one at a time"), RELEASE),
         Need("changes of configuration kept", "1/s", (Given(A_SECOND, f"{CHANGES:,} / {DAY:,} s"),), None,
              "the store's table of changes (burlloom/distribution/stores)", "built"),
     )),
@@ -218,23 +243,21 @@
         Need("a newcomer's whole copy at 9 KB a second", "s",
              (Slope("table memory", "rest", 1e6 / NET.amount, "a million bytes a MB, 9,000 a second"),),
              None, CARRIER, "built"),
+        Need("copies taken and given, every server a relay", "B/s",
+             (Slope("table memory", "rest", 2e6 * STARTS / SERVERS / DAY,
+                    f"2 x {STARTS:,} starts a day / {SERVERS:,} / {DAY:,} s x a million"),), NET, CARRIER,
+             "built"),
         Need("a server's copies, mean of a day", "B/s",
              (Slope("table memory", "rest", 1e6 * STARTS / SERVERS / DAY,
                     f"{STARTS:,} starts a day / {SERVERS:,} / {DAY:,} s x a million"),), NET, CARRIER,
              "built"),
     )),
     Role("discovery", "Discovery: reports to the name service", (
-        Need("a server's reports", "B/s",
-             (Given(5 * (28 + len("renew  yes") + NAME_MOST),
-                    f"5 a second x (28 + 10 + a name of {NAME_MOST}, the longest)", "code"),), NET,
-             "a datagram each 200 ms (burlloom/naming)"),
+        Need("a server's reports", "B/s", (Slope("discovery bytes", "rest"),), NET, NAMING),
+        Need("a server's processor time", "ms/s", (Slope("discovery cpu", "rest"),), CORE, NAMING),
         Need("datagrams at the name service", "1/s",
-             (Given(5.0 * SERVERS, f"5 a second x {SERVERS:,} servers", "code", True),), None,
-             "a datagram each 200 ms (burlloom/naming)"),
-        Need("bytes at the name service", "B/s",
-             (Given(5.0 * SERVERS *
-                    (28 + len("renew  yes") + NAME_MOST), f"{SERVERS:,} x the row above", "code", True),),
-             None, "a datagram each 200 ms (burlloom/naming)"),
+             (Slope("name service messages", "rest"),), None, NAMING),
+        Need("bytes at the name service", "B/s", (Slope("name service bytes", "rest"),), None, NAMING),
     )),
     Role("request", "The way of a request", (
         Need("added for 99 in 100, no calls below", "ms",
@@ -272,7 +295,7 @@
              (Slope("source cpu", "rest", size=math.ceil(SERVERS /
                                                          (CONTROL - 3))),), CORE, CARRIER, "built"),
         Need("bytes of one to its followers at rest", "B/s",
-             (Slope("follower bytes", "rest", FOLLOWERS, "followers"),), NET, CARRIER, "built"),
+             (Slope("follower bytes", "rest", FOLLOWERS, "followers", grows=True),), NET, CARRIER, "built"),
         Need("bytes of one for newcomers, mean of a day", "B/s",
              (Slope("table memory", "rest", 1e6 * STARTS / CONTROL / DAY,
                     f"{STARTS:,} starts a day / {CONTROL} / {DAY:,} s x a million"),), NET, CARRIER,
@@ -311,9 +334,22 @@
     return newest(sorted(kept(path), key=lambda row: row.at))
 
 
-def row_of(rows: Mapping[tuple[str, str, str], Row], slope: Slope) -> Row | None:
+def row_of(rows: Mapping[tuple[str, str, str], Row], name: str, state: str) -> Row | None:
     """What the text of today costs; where only the text before a change was measured, that."""
-    return rows.get((slope.name, slope.state, "now")) or rows.get((slope.name, slope.state, "before"))
+    return rows.get((name, state, "now")) or rows.get((name, state, "before"))
+
+
+def of_term(rows: Mapping[tuple[str, str, str], Row], term: Slope) -> list[Row] | str:
+    """The rows that a term is a product of, or what is missing."""
+    found = []
+    for name in (term.name, term.times) if term.times else (term.name, ):
+        row = row_of(rows, name, term.state)
+        if row is None:
+            return f"`{name}`, {term.state}: not measured"
+        if term.size is None and row.by not in COMING:
+            return f"`{name}`, {term.state}: not measured by what the plan tells, but by {row.by}"
+        found.append(row)
+    return found
 
 
 def worked_out(role: Role, need: Need, rows: Mapping[tuple[str, str, str], Row]) -> Figure:
@@ -324,16 +360,17 @@
                 words.append("guess")
             parts.append(f"{shown(term.value)} ({term.why}; {term.how})")
             continue
-        row = row_of(rows, term)
-        if row is None or term.size is None and row.by not in COMING:
+        found = of_term(rows, term)
+        if isinstance(found, str):
             words.append("not measured")
-            parts.append(f"`{term.name}`, {term.state}: not measured" +
-                         (f" by what the plan tells, but by {row.by}" if row else ""))
+            parts.append(found)
             continue
-        used.append(row)
-        if BUSY in row.note:
+        used += found
+        if any(BUSY in row.note for row in found):
             words.append("busy machine: counts for nothing")
-        parts.append(term_shown(term, row))
+        if any(term.at(row) > max(row.sizes) and fit(row.sizes, row.values).residual > POOR for row in found):
+            words.append("beyond what was measured, by a poor fit")
+        parts.append(term_shown(term, found))
     if not need.terms:
         words.append("nothing carries it" if need.nothing else "not measured")
     if "not measured" in words or not need.terms:
@@ -346,9 +383,9 @@
             if isinstance(term, Given):
                 whole += term.value * (part if term.grows else 1.0)
             else:
-                row = row_of(rows, term)
-                assert row is not None
-                whole += term.factor * cost(row, term.at(row) * part)
+                whole += term.factor * (part if term.grows else 1.0) * math.prod(
+                    cost(row,
+                         term.at(row) * part) for row in of_term(rows, term) if isinstance(row, Row))
         return whole
 
     passed = None if need.budget is None else passed_at(at, need.budget.amount)
@@ -374,8 +411,8 @@
 
 def shown(value: float) -> str:
     """Three digits, or whole."""
-    if value == 0 or not math.isfinite(value):
-        return "0" if value == 0 else "-"
+    if abs(value) < 1e-9 or not math.isfinite(value):
+        return "0" if abs(value) < 1e-9 else "-"
     if abs(value) >= 1000:
         return f"{value:,.0f}"
     digits = max(0, 2 - math.floor(math.log10(abs(value))))
@@ -386,9 +423,15 @@
     return f"{size:,.10g}" if size == int(size) else shown(size)
 
 
-def term_shown(term: Slope, row: Row) -> str:
+def term_shown(term: Slope, rows: Sequence[Row]) -> str:
     """The sum as a reader would do it by hand."""
-    size = term.at(row)
+    whole = term.factor * math.prod(cost(row, term.at(row)) for row in rows)
+    times = f"; x {shown(term.factor)} ({term.why})" if term.why else ""
+    return " x ".join(row_shown(row, term.at(row))
+                      for row in rows) + times + (f" = {shown(whole)}" if times or len(rows) > 1 else "")
+
+
+def row_shown(row: Row, size: float) -> str:
     found = fit(row.sizes, row.values)
     inside = min(row.sizes) <= size <= max(row.sizes)
     grows = {
@@ -398,7 +441,7 @@
         "square": f" x {number(size)}^2"
     }[found.shape]
     rate = f" {'-' if found.rate < 0 else '+'} {abs(found.rate):.3g}{grows}" if grows else ""
-    by_fit = f"{shown(found.base)}{rate} = {shown(found.base + found.rate * grown(found.shape, size))}"
+    by_fit = f"{shown(found.base)}{rate} = {shown(found.at(size))}" if grows else shown(found.base)
     if size in row.sizes:
         said = f"{shown(cost(row, size))} measured; fit {by_fit}"
     elif inside:
@@ -407,9 +450,8 @@
         said = f"fit, beyond {number(max(row.sizes))}: {by_fit}" if size > max(
             row.sizes) else f"fit, below the least size: {by_fit}"
     before = " (text before)" if row.side == "before" else ""
-    whole = term.factor * cost(row, size)
-    times = f"; x {shown(term.factor)} ({term.why}) = {shown(whole)}" if term.why else ""
-    return f"`{term.name}`, {term.state}{before}: {said} {row.unit}{times}"
+    each = f", {shown(1e6 * cost(row, size) / size)} bytes each" if row.unit == "MB" else ""
+    return f"`{row.name}`, {row.state}{before}: {said} {row.unit}{each}"
 
 
 def figures(rows: Mapping[tuple[str, str, str], Row], roles: Sequence[Role] = ROLES) -> list[Figure]:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,9 +9,9 @@
 
 from burlloom.command.lab import capacity
 from burlloom.lab import capacity as module
-from burlloom.lab.capacity import (BUSY, CORE, Budget, Given, Need, NoPage, Role, Slope, cost, figures, latest,
-                                   of_role, over, passed_at, ranked, ranking, tables, where, worked_out,
-                                   written)
+from burlloom.lab.capacity import (BUSY, CORE, Budget, Given, Need, NoPage, Role, Slope, cost, figures,
+                                   latest, of_role, over, passed_at, ranked, ranking, tables, where,
+                                   worked_out, written)
 from burlloom.lab.slopes import Row, keep, newest
 
 ROOT = Path(__file__).parent.parent
@@ -191,3 +191,30 @@
 def test_all_rows_can_be_worked_out_without_any_slope() -> None:
     assert len(figures({})) == sum(len(role.needs) for role in module.ROLES)
     assert all(one.need is None or isinstance(one.need, float | int) for one in figures({}))
+
+
+def test_a_product_of_two_slopes() -> None:
+    """As bytes of the book at each step: both grow."""
+    need = replace(NEED, terms=(Slope("a cpu", "rest", times="b cpu"),))
+    rows = by_key(LINEAR, slope("b cpu", tuple(0.002 * size for size in SIZES)))
+    one = worked_out(role_of(need), need, rows)
+    assert one.need == pytest.approx(26 * 5.2)
+    assert one.passed == pytest.approx((37 / (26 * 5.2))**0.5, rel=0.01)
+    assert one.arithmetic.endswith(" = 135")
+    assert "`b cpu`, rest: not measured" in worked_out(role_of(need), need, by_key(LINEAR)).arithmetic
+
+
+def test_a_poor_fit_is_named_where_it_is_all_there_is() -> None:
+    wild = slope("a cpu", (1.0, 9.0, 1.0, 9.0, 1.0))
+    assert worked_out(role_of(NEED), NEED, by_key(wild)).words == ("beyond what was measured, by a poor fit",)
+    inside = replace(NEED, terms=(Slope("a cpu", "rest", size=600),))
+    assert worked_out(role_of(inside), inside, by_key(wild)).words == ()
+
+
+def test_a_factor_that_grows_with_the_size() -> None:
+    """As a word a second of each server, each of a cost that does not grow."""
+    need = replace(NEED, terms=(Slope("a cpu", "rest", 2600.0, "a word each", grows=True),))
+    one = worked_out(role_of(need), need, by_key(slope("a cpu", (0.1,) * 5)))
+    assert one.need == pytest.approx(260.0)
+    assert one.passed == pytest.approx(37 / 260, rel=0.01)
+    assert where(one) == "371 servers"  # 370 x 0.1 are no more than the budget
