--- a/benchmarks/scale_table.py
+++ b/benchmarks/scale_table.py
@@ -1,15 +1,15 @@
 """The table of what is in force beside four other ways to hold it, at 10,000 to 670,000 entries.
 
-    python benchmarks/scale_table.py                          all ways and sizes, kept in benchmarks/slopes.jsonl
+    python benchmarks/scale_table.py                          all ways and sizes, kept in slopes.jsonl
     python benchmarks/scale_table.py --way table --no-keep    one way, only shown
 
-Each way and size has a process of its own. Entries are 64 tenants to 36 routes, keys of 12 to 40 bytes, values
-as MessagePack maps of 10 to 60. All ways are filled by changes of 64 in an order of chance, the dearest for what
-is sorted; `pages` fills the table bucket by bucket, as a newcomer does. Figures: resident memory beyond the
-empty process, processor time of a lookup (half of them of keys that are not there), of a change of 64 entries
-(half of them new), of a page of 1,300 bytes, of the whole fill, and of the longest single step of it (the
-collector is off, as nothing here makes cycles). All but the dicts look in two scopes; all check the entries and
-keep the digests.
+Each way and size has a process of its own. Entries are 64 tenants to 36 routes, keys of 12 to 40 bytes,
+values as MessagePack maps of 10 to 60. All ways are filled by changes of 64 in an order of chance, the
+dearest for what is sorted; `pages` fills the table bucket by bucket, as a newcomer does. Figures: resident
+memory beyond the empty process, processor time of a lookup (half of them of keys that are not there), of a
+change of 64 entries (half of them new), of a page of 1,300 bytes, of the whole fill, and of the longest single step of it (the
+collector is off, as nothing here makes cycles). All but the dicts and sorted arrays look in two scopes; all
+check the entries and keep the digests.
 """
 
 import gc
@@ -30,7 +30,8 @@
 import click
 import msgpack
 
-from burlloom.distribution.table import BUCKETS, Entry, Page, Table, bucket_of, digest_of_entry, faults
+from burlloom.distribution.changes import Entry
+from burlloom.distribution.table import BUCKETS, Page, Table, bucket_of, digest_of_entry, faults
 from burlloom.lab.slopes import Row, exponent_word, fit, keep
 
 SIZES = (10_000, 30_000, 100_000, 200_000, 430_000, 670_000)
@@ -124,7 +125,8 @@
 
     def get(self, kind: str, key: str) -> bytes | None:
         row = self.db.execute("SELECT value FROM entry WHERE bucket=? AND scope IN ('', 'north')"
-                              " AND kind=? AND key=? ORDER BY scope DESC LIMIT 1", (bucket_of(kind, key), kind[0], key)).fetchone()
+                              " AND kind=? AND key=? ORDER BY scope DESC LIMIT 1",
+                              (bucket_of(kind, key), kind[0], key)).fetchone()
         return row and row[0]
 
     def page(self, bucket: int) -> int:
@@ -222,11 +224,11 @@
     while at < size:
         entries = [entry(number) for number in order[at:at + (PAGE_ENTRIES if pages else CHANGE)]]
         if pages:
-            bucket = bucket_of(*entries[0].place[1:])
-            entries = [one for one in entries if bucket_of(*one.place[1:]) == bucket]
+            bucket = bucket_of(*entries[0][1:3])
+            entries = [one for one in entries if bucket_of(*one[1:3]) == bucket]
             following = entry(order[at + len(entries)]) if at + len(entries) < size else None
-            done = following is None or bucket_of(*following.place[1:]) != bucket
-            page = Page(tuple(entries), entries[-1].place, done)
+            done = following is None or bucket_of(*following[1:3]) != bucket
+            page = Page(tuple(entries), entries[-1][:3], done)
             began = time.thread_time_ns()
             made.replace(bucket, after, page)
             after = None if done else page.last
@@ -296,7 +298,8 @@
                 keep(Row(f"{name} {figure}", "entries", UNITS[figure],
                          "cold" if figure == "fill" else "rest", SIZES, values,
                          f"python benchmarks/scale_table.py --way {way!r}".replace("'", '"'),
-                         f"a process a size, processor time, one scope filled; load {os.getloadavg()[0]:.0f}"))
+                         "a process a size, processor time, one scope filled;"
+                         f" load {os.getloadavg()[0]:.0f}"))
             click.echo(f"  {name} {figure}: {exponent_word(fit(SIZES, values))}")
 
 
