Configuration distribution: stores of changes, schema step 5, the operator's part

Change: burlloom/distribution/stores/ keeps the head, the last changes and what is in force in three tables, in SQLite or PostgreSQL. A change is appended in one transaction that holds only if nobody wrote its revision; any control machine may. A store that was put back gets a new epoch, by `renew` or by `record restore`. The part `distribution` of the operator's file tells all its faults, a line each. The stand-in for PostgreSQL knows the types of the new columns. Tests changed: the command's test of migration drops the new tables too and wants step 5 as well, which is as strict.

--- /dev/null
+++ b/burlloom/distribution/stores/store.py
@@ -0,0 +1,43 @@
+"""What keeps the changes: every store offers these, and refuses in one way."""
+
+from typing import NamedTuple, Protocol
+
+from ..changes import Change, Entry, Head
+
+Place = tuple[str, str, str]  # scope, kind, key: the order in which entries are read
+
+
+class Away(Exception):
+    """The store can't be reached, or nobody knows whether it took what was written: read before you act."""
+
+
+class Stored(NamedTuple):
+    """An entry in force, and the epoch and revision that wrote it last."""
+
+    entry: Entry
+    epoch: int
+    revision: int
+
+
+class ChangeStore(Protocol):
+    """All but `close` raise `Away`."""
+
+    async def open(self) -> None:
+        """Takes missing schema steps, and begins an epoch where there is none."""
+    async def head(self) -> Head: ...
+    async def since(self, revision: int, most: int) -> list[Change]:
+        """The changes after it that are still in the log, in order; the first is a later one where it was
+        pruned."""
+    async def at(self, revision: int) -> Change | None:
+        """That change, if it is still in the log."""
+    async def append(self, change: Change) -> bool:
+        """In one step, if nobody wrote its revision before. On disk when it says yes."""
+    async def entries(self, after: Place | None, most: int) -> list[Stored]:
+        """A page of what is in force, in order. The table may move between two pages: entries that were read,
+        and then all changes after the head that was read before, in order, are what is in force at the
+        last."""
+    async def entry(self, scope: str, kind: str, key: str) -> Stored | None: ...
+    async def renew(self, seen: Head) -> bool:
+        """A new epoch, if that is still the head: the store was put back, and revisions that it gives from now
+        on were given before. What is in force stays; the log goes."""
+    async def close(self) -> None: ...
--- /dev/null
+++ b/burlloom/distribution/stores/tables.py
@@ -0,0 +1,112 @@
+"""The changes in three tables. Each write is one transaction, begun by a statement that holds only if nobody
+wrote before."""
+
+import time
+from typing import Any
+
+from ..changes import Change, Entry, Head, decode, digest_of_body, first_head
+from ..log import LOG_MOST
+from .store import Away, Place, Stored
+
+Statement = tuple[str, tuple[Any, ...]]
+
+# An epoch that begins is beyond all that there were: it is told by the clock.
+BEGIN = ("INSERT INTO distribution_head (id, epoch, revision, tag, time_ms)"
+         " VALUES (1, $1::bigint, 0, $2::bytea, $3::bigint) ON CONFLICT (id) DO NOTHING RETURNING revision")
+HEAD = "SELECT epoch, revision, tag, time_ms FROM distribution_head WHERE id = 1"
+ADVANCE = ("UPDATE distribution_head SET revision = $1::bigint, tag = $2::bytea, time_ms = $3::bigint"
+           " WHERE id = 1 AND epoch = $4::bigint AND revision = $1::bigint - 1 RETURNING revision")
+RENEW = ("UPDATE distribution_head SET epoch = $1::bigint, revision = 0, tag = $2::bytea, time_ms = $3::bigint"
+         " WHERE id = 1 AND epoch = $4::bigint AND revision = $5::bigint AND tag = $6::bytea RETURNING revision")
+FORGET = "DELETE FROM distribution_change WHERE revision > -1 RETURNING revision"
+INSERT = ("INSERT INTO distribution_change (revision, epoch, time_ms, scope, body, tag) VALUES ($1::bigint,"
+          " $2::bigint, $3::bigint, $4::bytea, $5::bytea, $6::bytea) RETURNING revision")
+PRUNE = "DELETE FROM distribution_change WHERE revision <= $1::bigint RETURNING revision"
+SINCE = ("SELECT epoch, revision, time_ms, scope, body, tag FROM distribution_change WHERE revision > $1::bigint"
+         " ORDER BY revision LIMIT $2::bigint")
+PUT = ("INSERT INTO distribution_entry (scope, kind, key, value, epoch, revision) VALUES ($1::bytea, $2::bytea,"
+       " $3::bytea, $4::bytea, $5::bigint, $6::bigint) ON CONFLICT (scope, kind, key) DO UPDATE SET"
+       " value = excluded.value, epoch = excluded.epoch, revision = excluded.revision RETURNING revision")
+DELETE = ("DELETE FROM distribution_entry WHERE scope = $1::bytea AND kind = $2::bytea AND key = $3::bytea"
+          " RETURNING revision")
+PAGE = ("SELECT scope, kind, key, value, epoch, revision FROM distribution_entry"
+        " ORDER BY scope, kind, key LIMIT $1::bigint")
+PAGE_AFTER = ("SELECT scope, kind, key, value, epoch, revision FROM distribution_entry"
+              " WHERE (scope, kind, key) > ($2::bytea, $3::bytea, $4::bytea)"
+              " ORDER BY scope, kind, key LIMIT $1::bigint")
+ENTRY = ("SELECT scope, kind, key, value, epoch, revision FROM distribution_entry"
+         " WHERE scope = $1::bytea AND kind = $2::bytea AND key = $3::bytea")
+
+
+def change_of(row: Any) -> Change:
+    epoch, revision, time_ms, scope, body, tag = row
+    return Change(epoch, revision, time_ms, bytes(scope).decode(), bytes(body), bytes(tag),
+                  digest_of_body(bytes(body)))
+
+
+def stored_of(row: Any) -> Stored:
+    scope, kind, key, value, epoch, revision = row
+    return Stored(Entry(bytes(scope).decode(), bytes(kind).decode(), bytes(key).decode(), bytes(value)), epoch, revision)
+
+
+def place_of(*names: str) -> tuple[bytes, ...]:
+    """As they stand in the tables: bytes, whose order no locale changes."""
+    return tuple(name.encode() for name in names)
+
+
+class Tables:
+    """`ChangeStore` over `run`, one statement and its rows, and `together`, a transaction, which a store gives.
+    Both raise `Away`."""
+
+    async def run(self, sql: str, *values: Any) -> list[Any]:
+        raise NotImplementedError
+
+    async def together(self, guard: Statement, rest: list[Statement]) -> bool:
+        """All of them, if the guard gives a row; else none."""
+        raise NotImplementedError
+
+    async def prepare(self) -> None:
+        raise NotImplementedError
+
+    async def open(self) -> None:
+        await self.prepare()
+        head = first_head(time.time_ns() // 1_000_000, time.time_ns() // 1_000_000)
+        await self.run(BEGIN, head.epoch, head.tag, head.time_ms)
+
+    async def head(self) -> Head:
+        found = await self.run(HEAD)
+        if not found:
+            raise Away("the head is gone: its table is empty")
+        (epoch, revision, tag, time_ms), = found
+        return Head(epoch, revision, bytes(tag), time_ms)
+
+    async def since(self, revision: int, most: int) -> list[Change]:
+        return [change_of(row) for row in await self.run(SINCE, revision, most)]
+
+    async def at(self, revision: int) -> Change | None:
+        found = await self.since(revision - 1, 1)
+        return found[0] if found and found[0].revision == revision else None
+
+    async def append(self, change: Change) -> bool:
+        assert change.body is not None
+        scope, revision = change.scope.encode(), change.revision
+        rest: list[Statement] = [(INSERT, (revision, change.epoch, change.time_ms, scope, change.body, change.tag))]
+        for entry in decode(change.scope, change.body):
+            place = place_of(entry.scope, entry.kind, entry.key)
+            rest.append((DELETE, place) if entry.value is None else (PUT, (*place, entry.value, change.epoch,
+                                                                                    revision)))
+        rest.append((PRUNE, (revision - LOG_MOST,)))
+        return await self.together((ADVANCE, (revision, change.tag, change.time_ms, change.epoch)), rest)
+
+    async def entries(self, after: Place | None, most: int) -> list[Stored]:
+        rows = await (self.run(PAGE, most) if after is None else self.run(PAGE_AFTER, most, *place_of(*after)))
+        return [stored_of(row) for row in rows]
+
+    async def entry(self, scope: str, kind: str, key: str) -> Stored | None:
+        return next((stored_of(row) for row in await self.run(ENTRY, *place_of(scope, kind, key))), None)
+
+    async def renew(self, seen: Head) -> bool:
+        now = time.time_ns() // 1_000_000
+        head = first_head(max(seen.epoch + 1, now), max(seen.time_ms, now))
+        return await self.together((RENEW, (head.epoch, head.tag, head.time_ms, seen.epoch, seen.revision, seen.tag)),
+                                   [(FORGET, ())])
--- a/burlloom/operator/__init__.py
+++ b/burlloom/operator/__init__.py
@@ -1,12 +1,13 @@
 """The operator's own file: a Jsonnet template, checked whole against a typed schema. Off unless a file is named."""
 
+from .distribution import DistributionPart
 from .fleet import FleetPart
 from .load import Faults, load
 from .levels import LevelsPart
 from .part import Part
 from .recovery import RecoveryPart
 from .rollout import RolloutPart
-from .schema import Metrics, Operator, Place, Postgres, Record, Rollout, Sqlite
+from .schema import Distribution, Metrics, Operator, Place, Postgres, Record, Rollout, Sqlite
 
-__all__ = ["Faults", "FleetPart", "LevelsPart", "Metrics", "Operator", "Part", "Place", "Postgres", "Record",
-           "RecoveryPart", "Rollout", "RolloutPart", "Sqlite", "load"]
+__all__ = ["Distribution", "DistributionPart", "Faults", "FleetPart", "LevelsPart", "Metrics", "Operator", "Part",
+           "Place", "Postgres", "Record", "RecoveryPart", "Rollout", "RolloutPart", "Sqlite", "load"]
--- /dev/null
+++ b/burlloom/operator/distribution.py
@@ -0,0 +1,89 @@
+"""The operator's word on configuration that is carried to the servers: who is followed, by which keys, what is
+told where."""
+
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import Field
+
+from .fleet import Host, read_keys
+from .part import Part
+
+MS = 1_000_000
+SIGNING_LEAST, KEYS_MOST = 16, 8  # bytes; lines of a file
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+Region = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,32}$")]
+
+
+class Upstream(Part):
+    """One that may be followed: a control machine, or a relay."""
+
+    name: Name
+    region: Region
+    address: Host
+
+
+class DistributionPart(Part):
+    """`listen`: where this one hears the others (UDP); `advertise`: where they reach it, if elsewhere.
+    `upstreams`: whom it may follow, its own region's first; at a control machine its peers, for when the store
+    is away.
+
+    `key_file`: one key in hex on a line; the first seals datagrams, all open. `signing_key_file`: one key in hex,
+    with which changes are chained: the same for all, and for nobody else. `followers_most` and `page_rate`
+    (bytes/s, for whole tables): what a control machine bears. `wait_ms`: how long a server waits for its first
+    sync before it listens; then it serves with its configuration's tenants. `state_file`: written each second."""
+
+    listen: Host
+    advertise: Host | None = None
+    region: Region
+    upstreams: Annotated[list[Upstream], Field(max_length=64)] = []
+    key_file: str
+    signing_key_file: str
+    beat_ms: Annotated[int, Field(ge=20, le=60_000)] = 1000
+    followers_most: Annotated[int, Field(ge=1, le=10_000)] = 400
+    page_rate: Annotated[int, Field(ge=10_000, le=1_000_000_000)] = 4_000_000
+    wait_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 10_000
+    state_file: str | None = None
+
+    def faults(self) -> list[str]:
+        """What no single value can tell, each with its place."""
+        from ..fleet.letters import KEY_LEAST, address_of
+        wrong = []
+        if address_of(self.listen) is None and not (self.listen.endswith(":0") and address_of(self.listen + "1")):
+            wrong.append(f"listen: {self.listen!r} is no IPv4 address with a port")  # 0: one that the system gives
+        if self.advertise is not None and address_of(self.advertise) is None:
+            wrong.append(f"advertise: {self.advertise!r} is no IPv4 address with a port")
+        names: dict[str, int] = {}
+        addresses: dict[str, int] = {}
+        for at, one in enumerate(self.upstreams):
+            place = f"upstreams[{at}]"
+            if address_of(one.address) is None:
+                wrong.append(f"{place}.address: {one.address!r} is no IPv4 address with a port")
+            for what, value, seen in (("name", one.name, names), ("address", one.address, addresses)):
+                if value in seen:
+                    wrong.append(f"{place}.{what}: {value} stands twice, also in upstreams[{seen[value]}]")
+                seen.setdefault(value, at)
+        for what, file, least in (("key_file", self.key_file, KEY_LEAST),
+                                  ("signing_key_file", self.signing_key_file, SIGNING_LEAST)):
+            try:
+                keys = read_keys(Path(file))
+                if not keys or len(keys) > KEYS_MOST or any(not least <= len(key) <= 64 for key in keys):
+                    wrong.append(f"{what}: {file}: each line wants a key of {least} to 64 bytes, in hex, and there"
+                                 f" are at most {KEYS_MOST}; `burlloom distribution key` makes one")
+                elif what == "signing_key_file" and len(keys) > 1:
+                    wrong.append(f"{what}: {file}: one key is wanted, and there are {len(keys)}")
+            except OSError as error:
+                wrong.append(f"{what}: {file}: {error.strerror}; `burlloom distribution key` makes one")
+            except ValueError as error:
+                wrong.append(f"{what}: {file}: {error}")
+        if self.state_file is not None and not Path(self.state_file).parent.is_dir():
+            wrong.append(f"state_file: the folder {Path(self.state_file).parent} does not exist")
+        return wrong
+
+    def keys(self) -> tuple[bytes, ...]:
+        """Raises `OSError` or `ValueError`."""
+        return read_keys(Path(self.key_file))
+
+    def signing_key(self) -> bytes:
+        """Raises `OSError` or `ValueError`."""
+        return read_keys(Path(self.signing_key_file))[0]
--- a/burlloom/operator/load.py
+++ b/burlloom/operator/load.py
@@ -24,8 +24,11 @@
 def load(path: Path) -> Operator:
     """Raises `Faults`. Imports in the template are looked up beside it."""
     found = checked(Operator, evaluated(path), path)
-    if found.levels is not None and (lines := found.levels.faults()):
-        raise Faults([f"{path}: levels.{line}" for line in lines])
+    lines = [f"levels.{line}" for line in found.levels.faults()] if found.levels is not None else []
+    if found.distribution is not None:
+        lines += [f"distribution.{line}" for line in found.distribution.faults()]
+    if lines:
+        raise Faults([f"{path}: {line}" for line in lines])
     return found
 
 
--- a/burlloom/operator/schema.py
+++ b/burlloom/operator/schema.py
@@ -5,6 +5,7 @@
 
 from pydantic import Field, model_validator
 
+from .distribution import DistributionPart
 from .fleet import FleetPart
 from .levels import LevelsPart
 from .part import Part
@@ -121,6 +122,12 @@
     store: Place | None = None
 
 
+class Distribution(DistributionPart):
+    """`store`: where control machines keep the changes, the same for all; left out: where the record is."""
+
+    store: Place | None = None
+
+
 class Operator(Part):
     """The whole file; a part that is left out is off."""
 
@@ -130,6 +137,12 @@
     fleet: FleetPart | None = None
     recovery: RecoveryPart | None = None
     rollout: Rollout | None = None
+    distribution: Distribution | None = None
+
+    def distribution_store(self) -> Place | None:
+        """None at servers, and at relays, which follow others alone."""
+        told = self.distribution.store if self.distribution is not None else None
+        return told if told is not None else self.record
 
     def rollout_store(self) -> Place:
         """Of a file that was checked."""
@@ -153,6 +166,7 @@
     @model_validator(mode="after")
     def something_to_expose(self) -> Self:
         if self.metrics is not None and self.record is None and self.levels is None and self.fleet is None \
-                and self.rollout is None:
-            raise ValueError("metrics: there is nothing to expose without a record, levels, a fleet or a rollout")
+                and self.rollout is None and self.distribution is None:
+            raise ValueError("metrics: there is nothing to expose without a record, levels, a fleet, a rollout or"
+                             " a distribution")
         return self
--- a/burlloom/record/admin.py
+++ b/burlloom/record/admin.py
@@ -287,6 +287,11 @@
                 for (table,) in fresh.execute("SELECT name FROM sqlite_master WHERE name LIKE 'rollout\\_%' ESCAPE"
                                               " '\\' AND type = 'table'").fetchall():
                     fresh.execute(f"DELETE FROM {table}")
+                # Configuration stays in force as it is there. Revisions after it were given before, to others: with
+                # no head, whoever opens it next begins a new epoch.
+                if fresh.execute("SELECT name FROM sqlite_master WHERE name = 'distribution_head'").fetchone():
+                    fresh.execute("DELETE FROM distribution_head")
+                    fresh.execute("DELETE FROM distribution_change")
             sync(part)
             os.chmod(part, 0o600)
             for tail in ("", "-wal", "-shm"):  # what is there is put aside whole, its log with it
--- a/burlloom/record/schema.py
+++ b/burlloom/record/schema.py
@@ -28,6 +28,16 @@
         "CREATE TABLE rollout_member (name TEXT PRIMARY KEY, life INTEGER NOT NULL, beat INTEGER NOT NULL,"
         " text TEXT NOT NULL) WITHOUT ROWID",
     ),
+    5: (
+        # The configuration that is distributed: where its changes stand, the last of them, what is in force.
+        "CREATE TABLE distribution_head (id INTEGER PRIMARY KEY, epoch INTEGER NOT NULL, revision INTEGER NOT NULL,"
+        " tag BLOB NOT NULL, time_ms INTEGER NOT NULL)",
+        "CREATE TABLE distribution_change (revision INTEGER PRIMARY KEY, epoch INTEGER NOT NULL,"
+        " time_ms INTEGER NOT NULL, scope BLOB NOT NULL, body BLOB NOT NULL, tag BLOB NOT NULL)",
+        "CREATE TABLE distribution_entry (scope BLOB NOT NULL, kind BLOB NOT NULL, key BLOB NOT NULL,"
+        " value BLOB NOT NULL, epoch INTEGER NOT NULL, revision INTEGER NOT NULL, PRIMARY KEY (scope, kind, key))"
+        " WITHOUT ROWID",
+    ),
 }
 POSTGRES: dict[int, tuple[str, ...]] = {
     1: (
@@ -49,6 +59,14 @@
         "CREATE TABLE rollout_member (name TEXT PRIMARY KEY, life BIGINT NOT NULL, beat BIGINT NOT NULL,"
         " text TEXT NOT NULL)",
     ),
+    5: (
+        "CREATE TABLE distribution_head (id BIGINT PRIMARY KEY, epoch BIGINT NOT NULL, revision BIGINT NOT NULL,"
+        " tag BYTEA NOT NULL, time_ms BIGINT NOT NULL)",
+        "CREATE TABLE distribution_change (revision BIGINT PRIMARY KEY, epoch BIGINT NOT NULL,"
+        " time_ms BIGINT NOT NULL, scope BYTEA NOT NULL, body BYTEA NOT NULL, tag BYTEA NOT NULL)",
+        "CREATE TABLE distribution_entry (scope BYTEA NOT NULL, kind BYTEA NOT NULL, key BYTEA NOT NULL,"
+        " value BYTEA NOT NULL, epoch BIGINT NOT NULL, revision BIGINT NOT NULL, PRIMARY KEY (scope, kind, key))",
+    ),
 }
 LATEST = max(SQLITE)
 assert LATEST == max(POSTGRES)
--- a/burlloom/standins/postgres.py
+++ b/burlloom/standins/postgres.py
@@ -24,8 +24,8 @@
 
 CAST = re.compile(r"\$(\d+)(?:::(\w+))?")
 INTS = {"state", "life", "turn", "at", "until", "fenced", "version", "ran", "said_at", "count",
-        "revision", "epoch", "beat"}
-BYTES = {"mark", "result", "seal"}
+        "revision", "epoch", "beat", "time_ms"}
+BYTES = {"mark", "result", "seal", "tag", "body", "scope", "kind", "key", "value"}
 WRITES = ("INSERT", "UPDATE", "DELETE", "CREATE", "ALTER")
 ITERATIONS = 4096
 
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -89,12 +89,13 @@
     assert "bytes before" in burlloom("record", "compact", "-o", path)
     assert "steps taken: none" in burlloom("record", "migrate", "-o", path)
     with sqlite3.connect(tmp_path / "record.db") as db:
-        for table in ("verdict", "rollout_book", "rollout_member"):
+        for table in ("verdict", "rollout_book", "rollout_member", "distribution_head", "distribution_change",
+                      "distribution_entry"):
             db.execute(f"DROP TABLE {table}")
         db.execute("ALTER TABLE node DROP COLUMN note")
         db.execute("PRAGMA user_version = 1")
     assert "`burlloom record migrate`" in burlloom("record", "stats", "-o", path, status=2)
-    assert "steps taken: 2, 3, 4" in burlloom("record", "migrate", "-o", path)
+    assert "steps taken: 2, 3, 4, 5" in burlloom("record", "migrate", "-o", path)
     with sqlite3.connect(tmp_path / "record.db") as db:
         db.execute("UPDATE fate SET id = 'other'")
     assert burlloom("record", "verify", "-o", path, status=1).count("seal does not hold") == 2
@@ -135,10 +136,13 @@
 
 @pytest.mark.parametrize("what, not_with", [
     ("burlloom.server.__main__", ("burlloom.record", "burlloom.operator", "burlloom.metrics", "burlloom.standins",
-                                  "burlloom.command", "pydantic", "asyncpg", "click", "sqlite3", "_jsonnet",
+                                  "burlloom.command", "burlloom.distribution", "xxhash", "pydantic", "asyncpg", "click", "sqlite3", "_jsonnet",
                                   "prometheus_client")),
     ("burlloom.record.fate, burlloom.record.budget, burlloom.record.rows, burlloom.record.recovery",
      ("asyncio", "sqlite3", "asyncpg", "burlloom.record.keeper", "burlloom.server", "burlloom.desk")),
+    ("burlloom.distribution.stores.opening, burlloom.distribution.stores.sqlite, burlloom.distribution.state",
+     ("burlloom.server", "burlloom.rpc", "burlloom.executor", "burlloom.catalogue", "burlloom.naming", "asyncpg",
+      "pydantic", "click")),
 ])
 def test_what_is_off_is_not_imported(what: str, not_with: tuple[str, ...]) -> None:
     code = (f"import {what}\nimport sys\nprint([name for name in sys.modules for one in {not_with!r}"
