Configuration distribution: servers that follow, control machines, commands; real processes under faults (under way)

Change: server/distributing.py (the datagrams, tenants in force from the table, state file, metrics), distribution/control.py and stores/reading.py (a control machine follows the store, else its peers), `burlloom distribution serve|put|show|explain|key`. Tenants' shares at the levels come from the table where it is in force, and rings are kept for those read lately. The stand-in relay passes a datagram on from its sender's own door, so that answers go through it too.

--- a/burlloom/command/root.py
+++ b/burlloom/command/root.py
@@ -1,4 +1,4 @@
-"""`burlloom serve|check|demo|fleet|lab|levels|record|recovery|rollout ...`."""
+"""`burlloom serve|check|demo|distribution|fleet|lab|levels|record|recovery|rollout ...`."""
 
 import os
 import sys
@@ -6,6 +6,7 @@
 
 import click
 
+from .distribution import distribution
 from .fleet import fleet
 from .lab import lab
 from .levels import levels
@@ -87,6 +88,7 @@
     sys.exit(play(folder))
 
 
+main.add_command(distribution)
 main.add_command(fleet)
 main.add_command(lab)
 main.add_command(levels)
--- /dev/null
+++ b/burlloom/distribution/control.py
@@ -0,0 +1,253 @@
+"""A control machine, or a relay: follows the store, else its peers, and is followed itself."""
+
+import asyncio
+import logging
+import socket
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from .changes import Head
+from .endpoint import Endpoint
+from .follower import Follower, Upstream
+from .follower import summary as follower_summary
+from .messages import to_source
+from .source import Source
+from .source import summary as source_summary
+from .state import Copy
+from .stores import Away, ChangeStore
+from .stores.reading import Broken, Reading
+from .table import Table
+from .telling import Keys, Telling, held, write_state
+from .terms import Terms
+
+log = logging.getLogger(__name__)
+
+MS, SECOND = 1_000_000, 1_000_000_000
+TICK = 0.05  # s
+READ_EVERY = 0.2  # s between two looks at the store
+AWAY_AFTER = 1500 * MS  # of no look that worked: from then on peers are followed
+AGAIN_MOST = 2.0  # s between two looks at a store that is away
+FAULTY_EVERY = 30 * SECOND  # between lines about a store that can't be believed
+LAST_WORDS = 0.05  # s between our last word and the end of the socket
+
+
+def since_start() -> int:
+    """ns of a clock that nobody sets, and that goes on while the machine sleeps."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+
+
+@dataclass(slots=True)
+class Counts:
+    """For whoever reads metrics."""
+
+    reads: int = 0
+    away: int = 0
+    broken: int = 0
+    loads: int = 0
+    renewals: int = 0
+
+
+class Control:
+    """`store`: None at a relay, which follows `upstreams` alone; with one, they are followed while it is away."""
+
+    def __init__(self, name: str, region: str, sock: socket.socket, seals: Keys, signing: Keys, terms: Terms,
+                 upstreams: Iterable[Upstream], store: ChangeStore | None, state_file: str | None = None,
+                 seed: int | None = None) -> None:
+        self.name, self.region, self.seals, self.signing, self.terms = name, region, seals, signing, terms
+        self.upstreams = [one for one in upstreams if one.name != name]
+        self.store, self.state_file = store, state_file
+        self.chance = Random(seed)
+        self.counts = Counts()
+        self.life, now = time.time_ns() // MS, since_start()
+        self.copy = Copy(Table(None), signing.keys)
+        self.source = Source(self.copy, name, self.life, seals.keys, terms, self.chance, now, self.age)
+        self.follower: Follower | None = None
+        self.reading = Reading(store, self.copy, lambda: Table(None), self) if store is not None else None
+        self.endpoint = Endpoint(sock, self.hear)
+        self.telling = Telling(self.copy)
+        self.began_at = now
+        self.read_at: int | None = None  # when the last look that worked began
+        self.away = ""
+        self.said_broken = -FAULTY_EVERY
+        self.looked_at = 0
+        self.stopping = asyncio.Event()
+
+    def age(self, now: int) -> int | None:
+        """ms since what we have was surely the newest: of the store, or of whom we follow."""
+        ages = [] if self.read_at is None else [max(0, now - self.read_at) // MS]
+        told = self.follower.age(now) if self.follower is not None else None
+        return min([*ages, *([] if told is None else [told])], default=None)
+
+    async def run(self) -> None:
+        await self.endpoint.open()
+        log.info("event=distribution-control name=%s region=%s address=%s store=%s peers=%d", self.name, self.region,
+                 self.endpoint.address, "yes" if self.store is not None else "no", len(self.upstreams))
+        tasks = [asyncio.create_task(self.keep(), name="distribution")]
+        if self.reading is not None:
+            tasks.append(asyncio.create_task(self.follow_store(self.reading), name="store"))
+        await self.stopping.wait()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.source.leave()
+        if self.follower is not None:
+            self.follower.leave()
+        self.flush()
+        await asyncio.sleep(LAST_WORDS)
+        self.look(since_start())
+        self.endpoint.close()
+        if self.store is not None:
+            await self.store.close()
+        log.info("event=distribution-closed name=%s", self.name)
+
+    def stop(self) -> None:
+        self.stopping.set()
+
+    # The store.
+
+    async def follow_store(self, reading: Reading) -> None:
+        wait = READ_EVERY
+        while True:
+            began = since_start()
+            try:
+                await reading.round()
+                self.read_at, wait = began, READ_EVERY
+                self.counts.reads += 1
+                if self.away:
+                    log.warning("event=distribution-store-back")
+                    self.away = ""
+                self.source.push(since_start())
+                self.flush()
+            except Away as error:
+                self.counts.away += 1
+                if not self.away:
+                    log.warning("event=distribution-store-away detail=%r", str(error))
+                self.away = str(error) or "away"
+                # Opened anew: its file may be another's by now, its tables gone.
+                reading.opened, wait = False, min(AGAIN_MOST, 2 * wait)
+            except Broken as error:
+                self.counts.broken += 1
+                if began - self.said_broken >= FAULTY_EVERY:
+                    self.said_broken = began
+                    log.error("event=distribution-store-broken detail=%r", str(error))
+                wait = AGAIN_MOST
+            except Exception:
+                log.exception("event=fault side=distribution-store")
+                wait = AGAIN_MOST
+            await asyncio.sleep(wait)
+
+    def loaded(self, head: Head) -> None:
+        self.counts.loads += 1
+        log.info("event=distribution-loaded epoch=%d revision=%d", head.epoch, head.revision)
+
+    def renewed(self, seen: Head, own: Head) -> None:
+        self.counts.renewals += 1
+        log.warning("event=distribution-epoch-begun was=%d store_had=%d we_had=%d detail='the store was put back'",
+                    seen.epoch, seen.revision, own.revision)
+
+    # Datagrams.
+
+    async def keep(self) -> None:
+        while True:
+            try:
+                self.tick()
+            except Exception:
+                log.exception("event=fault side=distribution")
+            await asyncio.sleep(TICK)
+
+    def tick(self) -> None:
+        now = since_start()
+        self.choose(now)
+        if self.follower is not None:
+            self.follower.tick(now)
+        self.source.tick(now)
+        self.flush()
+        self.telling.look()
+        if now - self.looked_at >= SECOND:
+            self.looked_at = now
+            self.look(now)
+
+    def choose(self, now: int) -> None:
+        """Whether peers are followed: not while the store answers."""
+        lately = self.read_at if self.read_at is not None else self.began_at
+        wanted = bool(self.upstreams) and (self.store is None or now - lately > AWAY_AFTER)
+        if wanted and self.follower is None:
+            # A life of its own: its numbers begin anew.
+            self.life = max(self.life + 1, time.time_ns() // MS)
+            self.follower = Follower(self.copy, self.name, self.life, self.region, self.upstreams, self.seals.keys,
+                                     self.terms, self.chance, now)
+            log.info("event=distribution-follows-peers peers=%d", len(self.upstreams))
+        elif not wanted and self.follower is not None:
+            self.follower.leave()
+            self.endpoint.flush(self.follower.out)
+            self.follower = None
+            log.info("event=distribution-follows-store")
+
+    def hear(self, data: bytes, source: tuple[str, int]) -> None:
+        now = since_start()
+        if to_source(data):
+            self.source.hear(now, data, source)
+        elif self.follower is not None:
+            self.follower.hear(now, data, source)
+            self.source.push(now)
+        self.flush()
+
+    def flush(self) -> None:
+        self.endpoint.flush(self.source.out)
+        if self.follower is not None:
+            self.endpoint.flush(self.follower.out)
+
+    # Once a second.
+
+    def look(self, now: int) -> None:
+        if self.seals.changed():
+            self.source.keys = self.seals.keys
+            if self.follower is not None:
+                self.follower.keys = self.seals.keys
+        if self.signing.changed():
+            self.copy.keys = self.signing.keys
+        self.endpoint.tell_refusals(now // SECOND, self.source.refusals)
+        if self.follower is not None:
+            self.endpoint.tell_refusals(now // SECOND, self.follower.refusals)
+        if self.state_file is not None:
+            write_state(self.state_file, self.summary(now))
+
+    def lowest(self) -> tuple[int | None, int]:
+        """Of who follows, within our epoch: the lowest revision, and for how many ms the first change that one of
+        them lacks has been there. One of another epoch has 0."""
+        head = self.copy.head
+        if head is None or not self.source.followers:
+            return None, 0
+        lowest = min(lease.revision if lease.epoch == head.epoch else 0 for lease in self.source.followers.values())
+        lacked = self.copy.log.since(lowest, 1)
+        if lowest >= head.revision:
+            return lowest, 0
+        since = lacked[0].time_ms if lacked else head.time_ms
+        return lowest, max(0, time.time_ns() // MS - since)
+
+    def summary(self, now: int) -> dict[str, object]:
+        lowest, lacking = self.lowest()
+        return {"told_at": time.time_ns(), "role": "control" if self.store is not None else "relay",
+                "region": self.region, "address": self.endpoint.address, **source_summary(self.source, now),
+                **held(self.copy), "lowest_revision": lowest, "lacking_ms": lacking, "store_away": self.away,
+                "store": {name: getattr(self.counts, name) for name in Counts.__slots__},
+                "follows": follower_summary(self.follower, now) if self.follower is not None else None}
+
+    def metrics(self) -> dict[str, int]:
+        counts = self.source.counts
+        told = {name: getattr(counts, name) for name in type(counts).__slots__ if name != "refused"}
+        return {**told, "refused": sum(counts.refused.values()), "unsent": self.endpoint.unsent,
+                **{f"store_{name}": getattr(self.counts, name) for name in Counts.__slots__}}
+
+    def gauges(self) -> dict[str, float]:
+        """The age is NaN where nothing is in force."""
+        head, age = self.copy.head, self.age(since_start())
+        lowest, lacking = self.lowest()
+        return {"epoch": float(head.epoch) if head else 0.0, "revision": float(head.revision) if head else 0.0,
+                "age_seconds": age / 1000 if age is not None else float("nan"),
+                "followers": float(len(self.source.followers)), "store_away_now": float(bool(self.away)),
+                "follows_peers": float(self.follower is not None), "lacking_seconds": lacking / 1000,
+                "lowest_revision": float(lowest) if lowest is not None else float("nan"),
+                "tenants": float(self.copy.table.count("tenant")), "routes": float(self.copy.table.count("route"))}
--- /dev/null
+++ b/burlloom/distribution/endpoint.py
@@ -0,0 +1,78 @@
+"""Datagrams in and out, for a server that follows and for a control machine."""
+
+import asyncio
+import logging
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+log = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+UNSENT_MOST = 1 << 20  # bytes that the system did not take yet; what is more is as good as lost on the way
+RECEIVE = 1 << 21  # bytes that wait to be read, as far as the system allows it
+REFUSED_EACH = 10  # lines a second about what is refused; the rest is counted
+
+
+def bound(listen: str) -> socket.socket:
+    """Raises `OSError`."""
+    host, port = listen.rsplit(":", 1)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
+        sock.bind((host, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
+
+
+class Endpoint(asyncio.DatagramProtocol):
+    """`hear`: called with each datagram and where it came from; an error of it is logged, and that is all."""
+
+    def __init__(self, sock: socket.socket, hear: Callable[[bytes, Address], None]) -> None:
+        self.sock, self.heard = sock, hear
+        host, port = sock.getsockname()
+        self.address = f"{host}:{port}"
+        self.transport: Any = None  # typeshed's datagram transport lacks the size of what was not taken
+        self.unsent = 0  # datagrams that were dropped here
+        self.said_at, self.said = 0, 0
+
+    async def open(self) -> None:
+        self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, sock=self.sock)
+
+    def flush(self, out: deque[tuple[Address, bytes]]) -> None:
+        while out:
+            address, data = out.popleft()
+            if self.transport is None or self.transport.get_write_buffer_size() > UNSENT_MOST:
+                self.unsent += 1
+            else:
+                self.transport.sendto(data, address)
+
+    def tell_refusals(self, now_s: int, refusals: deque[tuple[str, Address]]) -> None:
+        """Some lines a second: whoever sends rubbish does not fill the disk."""
+        if now_s != self.said_at:
+            self.said_at, self.said = now_s, 0
+        while refusals:
+            reason, (host, port) = refusals.popleft()
+            self.said += 1
+            if self.said <= REFUSED_EACH:
+                log.info("event=distribution-refused peer=%s:%d reason=%r", host, port, reason)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
+
+    # Of asyncio.
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        try:
+            self.heard(data, (addr[0], addr[1]))
+        except Exception:
+            log.exception("event=fault side=distribution")
+
+    def error_received(self, exc: Exception) -> None:
+        pass  # whoever is not there will be found silent
--- a/burlloom/distribution/stores/store.py
+++ b/burlloom/distribution/stores/store.py
@@ -37,7 +37,7 @@
         and then all changes after the head that was read before, in order, are what is in force at the
         last."""
     async def entry(self, scope: str, kind: str, key: str) -> Stored | None: ...
-    async def renew(self, seen: Head) -> bool:
-        """A new epoch, if that is still the head: the store was put back, and revisions that it gives from now
-        on were given before. What is in force stays; the log goes."""
+    async def renew(self, seen: Head, beyond: int) -> bool:
+        """A new epoch, later than `beyond`, if that is still the head: the store was put back, and revisions that
+        it gives from now on were given before. What is in force stays; the log goes."""
     async def close(self) -> None: ...
--- a/burlloom/distribution/stores/tables.py
+++ b/burlloom/distribution/stores/tables.py
@@ -105,8 +105,8 @@
     async def entry(self, scope: str, kind: str, key: str) -> Stored | None:
         return next((stored_of(row) for row in await self.run(ENTRY, *place_of(scope, kind, key))), None)
 
-    async def renew(self, seen: Head) -> bool:
+    async def renew(self, seen: Head, beyond: int) -> bool:
         now = time.time_ns() // 1_000_000
-        head = first_head(max(seen.epoch + 1, now), max(seen.time_ms, now))
+        head = first_head(max(seen.epoch + 1, beyond + 1, now), max(seen.time_ms, now))
         return await self.together((RENEW, (head.epoch, head.tag, head.time_ms, seen.epoch, seen.revision, seen.tag)),
                                    [(FORGET, ())])
--- a/burlloom/levels/signals.py
+++ b/burlloom/levels/signals.py
@@ -4,12 +4,14 @@
 raises service.
 """
 
-from collections.abc import Iterable, Mapping
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, fields
 from typing import NamedTuple
 
 SECOND = 1_000_000_000
 MS = 1_000_000
+RINGS_MOST = 4096  # tenants whose reads are counted: some hundred bytes each
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,26 +136,37 @@
 
     One is past its share at `factor` times it and `sure` deviations beyond what chance alone makes of so
     few reads, and no more at the share itself. Of its txns only the excess is marked, spread evenly: the
-    rest is within its share."""
+    rest is within its share.
+
+    `share`, where given, says a tenant's share of the whole at any time, None of one that is not known; then
+    `portions` count for nothing. The RINGS_MOST that were read last are measured."""
 
     def __init__(self, portions: Iterable[tuple[str, float]], span: int = 10 * SECOND, factor: float = 1.25,
-                 sure: float = 4.0) -> None:
+                 sure: float = 4.0, share: Callable[[str], float | None] | None = None) -> None:
         told = dict(portions)
         whole = sum(told.values()) or 1.0
-        self.portions = {name: portion / whole for name, portion in told.items()}
-        self.rings = {name: Ring(span, 10) for name in told}
+        self.share = share or {name: portion / whole for name, portion in told.items()}.get
+        self.span = span
+        self.rings: OrderedDict[str, Ring] = OrderedDict()
         self.all, self.factor, self.sure = Ring(span, 10), factor, sure
         self.past: dict[str, float] = {}  # with the part of a txn that is owed to be marked
 
     def read(self, now: int, tenant: str) -> bool:
         """Counts one read; whether it is past its tenant's share. Those that are not known have none."""
+        portion = self.share(tenant)
+        if portion is None:
+            return False
         ring = self.rings.get(tenant)
         if ring is None:
-            return False
+            ring = self.rings[tenant] = Ring(self.span, 10)
+            if len(self.rings) > RINGS_MOST:
+                self.past.pop(self.rings.popitem(last=False)[0], None)
+        else:
+            self.rings.move_to_end(tenant)
         ring.add(now, 1.0)
         self.all.add(now, 1.0)
         total = sum(self.all.counts)
-        share, portion = sum(ring.counts) / total, self.portions[tenant]
+        share = sum(ring.counts) / total
         by_chance = (portion * (1 - portion) / total) ** 0.5
         if share <= portion:
             self.past.pop(tenant, None)
--- a/burlloom/metrics/exposed.py
+++ b/burlloom/metrics/exposed.py
@@ -20,14 +20,16 @@
 class Numbers:
     """A collector over plain numbers that others keep: nothing is counted twice, and nothing costs until it is read.
 
-    `counts`: whole numbers that only grow, a dataclass or a dictionary; `gauges` gives what stands now."""
+    `counts`: whole numbers that only grow, a dataclass, a dictionary or what gives one; `gauges` gives what stands
+    now."""
 
     def __init__(self, prefix: str, counts: Any, gauges: Callable[[], dict[str, float]]) -> None:
         self.prefix, self.counts, self.gauges = prefix, counts, gauges
 
     def collect(self) -> Iterator[CounterMetricFamily | GaugeMetricFamily]:
-        told = self.counts if isinstance(self.counts, dict) else {
-            field.name: getattr(self.counts, field.name) for field in fields(self.counts)}
+        counts = self.counts() if callable(self.counts) else self.counts
+        told = counts if isinstance(counts, dict) else {
+            field.name: getattr(counts, field.name) for field in fields(counts)}
         for name, count in told.items():
             yield CounterMetricFamily(f"{self.prefix}_{name}", f"{name.replace('_', ' ')}, since the start", value=count)
         for name, value in self.gauges().items():
--- a/burlloom/operator/distribution.py
+++ b/burlloom/operator/distribution.py
@@ -1,14 +1,19 @@
 """The operator's word on configuration that is carried to the servers: who is followed, by which keys, what is
 told where."""
 
+from dataclasses import replace
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 from pydantic import Field
 
 from .fleet import Host, read_keys
 from .part import Part
 
+if TYPE_CHECKING:
+    from ..distribution.follower import Upstream as Follows
+    from ..distribution.terms import Terms
+
 MS = 1_000_000
 SIGNING_LEAST, KEYS_MOST = 16, 8  # bytes; lines of a file
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
@@ -28,8 +33,8 @@
     `upstreams`: whom it may follow, its own region's first; at a control machine its peers, for when the store
     is away.
 
-    `key_file`: one key in hex on a line; the first seals datagrams, all open. `signing_key_file`: one key in hex,
-    with which changes are chained: the same for all, and for nobody else. `followers_most` and `page_rate`
+    `key_file`: one key in hex on a line; the first seals datagrams, all open. `signing_key_file`: as well; the first
+    chains changes, any is believed: the same for all, and for nobody else. `followers_most` and `page_rate`
     (bytes/s, for whole tables): what a control machine bears. `wait_ms`: how long a server waits for its first
     sync before it listens; then it serves with its configuration's tenants. `state_file`: written each second."""
 
@@ -70,8 +75,6 @@
                 if not keys or len(keys) > KEYS_MOST or any(not least <= len(key) <= 64 for key in keys):
                     wrong.append(f"{what}: {file}: each line wants a key of {least} to 64 bytes, in hex, and there"
                                  f" are at most {KEYS_MOST}; `burlloom distribution key` makes one")
-                elif what == "signing_key_file" and len(keys) > 1:
-                    wrong.append(f"{what}: {file}: one key is wanted, and there are {len(keys)}")
             except OSError as error:
                 wrong.append(f"{what}: {file}: {error.strerror}; `burlloom distribution key` makes one")
             except ValueError as error:
@@ -84,6 +87,24 @@
         """Raises `OSError` or `ValueError`."""
         return read_keys(Path(self.key_file))
 
-    def signing_key(self) -> bytes:
+    def signing_keys(self) -> tuple[bytes, ...]:
         """Raises `OSError` or `ValueError`."""
-        return read_keys(Path(self.signing_key_file))[0]
+        return read_keys(Path(self.signing_key_file))
+
+    def terms(self) -> "Terms":
+        """What is not told follows the beat."""
+        from ..distribution.terms import Terms
+        plain, beat = Terms(), self.beat_ms * MS
+        part = beat / plain.beat
+        return replace(plain, beat=beat, silence=int(plain.silence * part), knock=int(plain.knock * part),
+                       retry=int(plain.retry * part), prefer=int(plain.prefer * part), stale=int(plain.stale * part),
+                       stuck=int(plain.stuck * part), lease=int(plain.lease * part),
+                       followers_most=self.followers_most, page_rate=self.page_rate,
+                       page_burst=max(1, self.page_rate // 10))
+
+    def followed(self) -> "list[Follows]":
+        """Whom this one may follow."""
+        from ..distribution.follower import Upstream as Follows
+        from ..fleet.letters import address_of
+        return [Follows(one.name, one.region, address) for one in self.upstreams
+                if (address := address_of(one.address)) is not None]
--- a/burlloom/server/__main__.py
+++ b/burlloom/server/__main__.py
@@ -17,6 +17,7 @@
 
 from .assembly import Server  # noqa: E402
 from .configuration import Broken, Orders, read  # noqa: E402
+from .distributing import Distributing  # noqa: E402
 from .fleeting import Fleeting  # noqa: E402
 from .leveling import Leveling  # noqa: E402
 from .logs import set_up  # noqa: E402
@@ -27,12 +28,13 @@
 OPERATOR = "BURLLOOM_OPERATOR"  # the operator's own file; what it does not switch on is not imported
 Fitted = tuple[Orders, Callable[[Server], Keeping] | None, Callable[[Server], Leveling] | None,
                Callable[[Server], Fleeting] | None, Callable[[Server], Recovering] | None,
-               Callable[[Server], Rolling] | None]
+               Callable[[Server], Rolling] | None, Callable[[Server], Distributing] | None]
 
 
 async def serve(listener: socket.socket, fitted: Fitted) -> None:
-    orders, keeping, leveling, fleeting, recovering, rolling = fitted
-    server, loop = Server(orders, listener, keeping, leveling, fleeting, recovering, rolling), asyncio.get_running_loop()
+    orders, keeping, leveling, fleeting, recovering, rolling, distributing = fitted
+    server = Server(orders, listener, keeping, leveling, fleeting, recovering, rolling, distributing)
+    loop = asyncio.get_running_loop()
 
     def heard(number: int, _: FrameType | None) -> None:
         if number == signal.SIGHUP:
@@ -55,12 +57,12 @@
 def switched_on(orders: Orders, path: str) -> Fitted:
     """What the operator's file asks for. Raises `Broken`, with a line for each fault."""
     from ..operator import Faults
-    from .parts import Refused, fleeted, leveled, load_operator, recorded, recovered, rolled, spanned, stale
+    from .parts import Refused, distributed, fleeted, leveled, load_operator, recorded, recovered, rolled, spanned, stale
     try:
         operator = load_operator(path)
         orders = spanned(operator, stale(operator, orders))
         return orders, recorded(operator, orders), leveled(operator, orders), fleeted(operator, orders), \
-            recovered(operator, orders), rolled(operator, orders)
+            recovered(operator, orders), rolled(operator, orders), distributed(operator, orders)
     except Faults as faults:
         raise Broken("\nburlloom.server: ".join(faults.lines)) from faults
     except Refused as refused:
@@ -82,7 +84,7 @@
     try:
         orders = read()
         listener = bound(orders)
-        fitted: Fitted = orders, None, None, None, None, None
+        fitted: Fitted = orders, None, None, None, None, None, None
         if path := os.environ.get(OPERATOR, ""):
             fitted = switched_on(orders, path)
     except Broken as error:
--- a/burlloom/server/assembly.py
+++ b/burlloom/server/assembly.py
@@ -17,6 +17,7 @@
 from ..rpc import Front, Known, Request
 from ..sockets import MS, Tasks, out_of_descriptors, rest
 from .configuration import Broken, Orders, read
+from .distributing import Distributing, NoDistribution
 from .fleeting import Fleeting, NoFleet
 from .leveling import Leveling, NoLevels
 from .recording import Keeping, NoRecord
@@ -72,9 +73,12 @@
                  leveling: Callable[["Server"], Leveling] | None = None,
                  fleeting: Callable[["Server"], Fleeting] | None = None,
                  recovering: Callable[["Server"], Recovering] | None = None,
-                 rolling: Callable[["Server"], Rolling] | None = None) -> None:
+                 rolling: Callable[["Server"], Rolling] | None = None,
+                 distributing: Callable[["Server"], Distributing] | None = None) -> None:
         self.orders, self.clock, self.tasks = orders, Clock(), Tasks()
+        self.leaving = False
         self.record: Keeping = keeping(self) if keeping is not None else NoRecord(self.execute)
+        self.distribution: Distributing = distributing(self) if distributing is not None else NoDistribution()
         self.levels: Leveling = leveling(self) if leveling is not None else NoLevels()
         self.recovery: Recovering = recovering(self) if recovering is not None else NoRecovery()
         self.fleet: Fleeting = fleeting(self) if fleeting is not None else NoFleet()
@@ -84,10 +88,10 @@
                       for name, index in self.class_index.items()}
         self.desk: Desk | None = None
         self.serving: dict[str, Request] = {}
-        self.leaving = False
         self.over = asyncio.Event()
         self.address = listener.getsockname()
-        known = Known(keyed, orders.tenants, max(product.expiry for product in orders.facts.products))
+        known = Known(keyed, self.distribution.tenants(orders.tenants),
+                      max(product.expiry for product in orders.facts.products))
         self.front = Front(listener, known, room(orders.sockets, orders.facts), self.tasks, self.clock, self.asked,
                            self.lost, self.serves, self.good, self.said)
         spare = self.front.make_room
@@ -98,6 +102,7 @@
     async def run(self) -> None:
         await self.record.open()
         await self.fleet.open()
+        await self.distribution.open()
         self.front.listen()
         self.tasks.start(self.link.keep(), "executor")
         self.tasks.start(self.reports.keep(), "naming")
@@ -109,6 +114,7 @@
         self.levels.close()
         self.recovery.close()
         self.fleet.close()
+        self.distribution.close()
         await self.record.close()
         log.info("event=stopped unanswered=%d", self.desk.unanswered if self.desk is not None else 0)
 
--- a/burlloom/server/leveling.py
+++ b/burlloom/server/leveling.py
@@ -84,7 +84,9 @@
     def __init__(self, plan: Plan, products: tuple[tuple[str, Product], ...], tenants: dict[str, float], cores: int,
                  clock: Callable[[], int], sockets: Callable[[], float], *, terms: Terms | None = None,
                  store: Callable[[], float] | None = None, meters: frozenset[str] = frozenset(),
-                 pin_file: Path | None = None, state_file: Path | None = None) -> None:
+                 pin_file: Path | None = None, state_file: Path | None = None,
+                 share: Callable[[str], float | None] | None = None) -> None:
+        """`share`: of a tenant, where not `tenants` says it."""
         from .. import levels
         self.of = levels
         self.plan, self.products, self.cores, self.clock, self.sockets = plan, products, cores, clock, sockets
@@ -97,7 +99,7 @@
         self.measured = frozenset({"age", "lag", "press", "late", "calls", "sockets"}
                                   | ({"store"} if store is not None else set())
                                   | {signal for meter, signal in METERED.items() if meter in meters})
-        self.tenants = levels.Tenants(tenants.items())
+        self.tenants = levels.Tenants(tenants.items(), share=share)
         self.late, self.calls = levels.signals.Shares(), levels.signals.Shares()
         self.levels: Levels | None = None
         self.desk: Desk | None = None
--- a/burlloom/server/parts.py
+++ b/burlloom/server/parts.py
@@ -18,6 +18,7 @@
 from ..record.opening import store_of
 from ..sockets import MS, SECOND
 from .configuration import Orders
+from .distributing import Distributed
 from .fleeting import Fleeted
 from .leveling import Leveled
 from .recording import Recorded
@@ -28,8 +29,8 @@
     from ..metrics import Exposed
     from .assembly import Server
 
-__all__ = ["Operator", "Refused", "fleeted", "leveled", "load_operator", "recorded", "recovered", "rolled", "spanned",
-           "stale"]
+__all__ = ["Operator", "Refused", "distributed", "fleeted", "leveled", "load_operator", "recorded", "recovered",
+           "rolled", "spanned", "stale"]
 
 CALLS_SPAN = 5 * SECOND
 
@@ -90,9 +91,11 @@
                        store=partial(strain, record.keeper, server.clock) if isinstance(record, Recorded) else None,
                        meters=frozenset(orders.meters),
                        pin_file=Path(told.pin_file) if told.pin_file is not None else None,
-                       state_file=Path(told.state_file) if told.state_file is not None else None)
+                       state_file=Path(told.state_file) if told.state_file is not None else None,
+                       share=server.distribution.share(orders.tenants))
         if operator.metrics is not None:
-            shown = record.exposed if isinstance(record, Recorded) else None
+            shown = next((one.exposed for one in (record, server.distribution)
+                          if isinstance(one, Recorded | Distributed) and one.exposed is not None), None)
             if shown is None:
                 shown = made.exposed = exposed(operator.metrics)
             shown.numbers("burlloom_levels", made.steps, made.gauges)
@@ -127,8 +130,8 @@
     def make(server: Server) -> Fleeted:
         made = Fleeted(part, sock, orders.name, orders.seed, server.tasks, server.recovery)
         if operator.metrics is not None:
-            shown = next((one.exposed for one in (server.record, server.levels)
-                          if isinstance(one, Recorded | Leveled) and one.exposed is not None), None)
+            shown = next((one.exposed for one in (server.record, server.distribution, server.levels)
+                          if isinstance(one, Recorded | Distributed | Leveled) and one.exposed is not None), None)
             if shown is None:
                 shown = made.exposed = exposed(operator.metrics)
             shown.numbers("burlloom_fleet", made.fleet.counts, made.gauges)
@@ -160,8 +163,8 @@
         made = Rolled(part, shelf, orders.name, version, orders.facts.products, server.clock, server.tasks, server,
                       lambda: server.fleet)
         if operator.metrics is not None:
-            shown = next((one.exposed for one in (server.record, server.levels, server.fleet)
-                          if isinstance(one, Recorded | Leveled | Fleeted) and one.exposed is not None), None)
+            shown = next((one.exposed for one in (server.record, server.distribution, server.levels, server.fleet)
+                          if isinstance(one, Recorded | Distributed | Leveled | Fleeted) and one.exposed is not None), None)
             if shown is None:
                 shown = made.exposed = exposed(operator.metrics)
             shown.numbers("burlloom_rollout", made.steps, made.gauges)
@@ -169,6 +172,34 @@
     return make
 
 
+def distributed(operator: Operator, orders: Orders) -> Callable[[Server], Distributed] | None:
+    """Raises `Refused`."""
+    part = operator.distribution
+    if part is None:
+        return None
+    if not part.upstreams:
+        raise Refused("distribution.upstreams: is empty: a server follows others")
+    from ..distribution.endpoint import bound
+    from ..distribution.messages import NAME_MOST
+    if not 0 < len(orders.name.encode()) <= NAME_MOST:
+        raise Refused(f"distribution: the name {orders.name!r:.80} is over {NAME_MOST} bytes; messages carry no longer"
+                      " one")
+    try:
+        sock = bound(part.listen)
+    except OSError as error:
+        raise Refused(f"distribution.listen: {part.listen}: {error.strerror}") from error
+
+    def make(server: Server) -> Distributed:
+        made = Distributed(part, sock, orders.name, orders.seed, server.tasks, lambda: server.leaving)
+        if operator.metrics is not None:
+            shown = server.record.exposed if isinstance(server.record, Recorded) else None
+            if shown is None:
+                shown = made.exposed = exposed(operator.metrics)
+            shown.numbers("burlloom_distribution", made.counts, made.gauges)
+        return made
+    return make
+
+
 def strain(keeper: Keeper, clock: Callable[[], int]) -> float:
     return keeper.budget.strain(clock())
 
--- a/burlloom/standins/relay.py
+++ b/burlloom/standins/relay.py
@@ -1,8 +1,8 @@
 """A network for datagrams that a story can spoil: delays, losses, cuts, doubles. One address for each member.
 
-Whoever is reached through a relay advertises the relay's address for it. Letters carry no source that counts,
-so who sent one is told by the socket that it came from: `sent_from` tells the relay each member's own
-address.
+Whoever is reached through a relay advertises the relay's address for it. Who sent a datagram is told by the
+socket that it came from: `sent_from` tells the relay each member's own address. It goes on from the address under
+which its sender is reached, so that an answer to where it came from passes through the relay as well.
 """
 
 import asyncio
@@ -32,7 +32,7 @@
         self.cuts: set[tuple[str, str]] = set()  # who does not reach whom
         self.loss, self.doubles, self.delay = 0.0, 0.0, (0.0, 0.0)  # delay in s, from and to
         self.passed = self.lost = 0
-        self.kept: list[tuple[Door, bytes]] = []  # of what passed, the last, to be played again
+        self.kept: list[tuple[Any, Door, bytes]] = []  # of what passed, the last, to be played again
 
     async def door(self, name: str) -> str:
         """The address under which this member is reached."""
@@ -61,18 +61,19 @@
             self.lost += 1
             return
         self.passed += 1
-        self.kept = [*self.kept[-99:], (door, data)]
+        out = self.doors.get(name, door).transport
+        self.kept = [*self.kept[-99:], (out, door, data)]
         for _ in range(1 + (self.chance.random() < self.doubles)):
             wait = self.chance.uniform(*self.delay)
             if wait > 0:
-                asyncio.get_running_loop().call_later(wait, door.transport.sendto, data, door.target)
+                asyncio.get_running_loop().call_later(wait, out.sendto, data, door.target)
             else:
-                door.transport.sendto(data, door.target)
+                out.sendto(data, door.target)
 
     def again(self) -> None:
         """Plays what was kept once more."""
-        for door, data in self.kept:
-            door.transport.sendto(data, door.target)
+        for out, door, data in self.kept:
+            out.sendto(data, door.target)
 
     def close(self) -> None:
         for door in self.doors.values():
--- a/tests/test_distribution_stores.py
+++ b/tests/test_distribution_stores.py
@@ -84,8 +84,8 @@
 
     # A store that was put back: whoever knows better begins a new epoch, once.
     seen = await first.head()
-    held = await asyncio.gather(first.renew(seen), second.renew(seen))
-    assert sorted(held) == [False, True] and not await first.renew(seen)
+    held = await asyncio.gather(first.renew(seen, seen.epoch), second.renew(seen, seen.epoch))
+    assert sorted(held) == [False, True] and not await first.renew(seen, seen.epoch)
     new = await second.head()
     assert new.epoch > seen.epoch and new.revision == 0 and await first.since(0, 9) == []
     assert len(await all_of(second, 7)) == 3 + 20
