Configuration distribution: tests of the server's and the control machine's side without processes

Cause: tenants in force, their shares, a store that was put back and bad keys were told by whole processes alone. Change: tests/test_distributing.py; a name that UTF-8 can't have is no tenant's, whatever the table makes of it. Conclusion: a store that was written to before anybody noticed that it was put back begins one new epoch.

--- a/burlloom/server/distributing.py
+++ b/burlloom/server/distributing.py
@@ -72,7 +72,12 @@
     def __contains__(self, name: object) -> bool:
         if not isinstance(name, str):
             return False
-        return self.copy.table.has("tenant", name) if self.copy.head is not None else name in self.told
+        if self.copy.head is None:
+            return name in self.told
+        try:
+            return self.copy.table.has("tenant", name)
+        except UnicodeEncodeError:  # what UTF-8 can't have is no tenant's
+            return False
 
     def __bool__(self) -> bool:
         # In force, a table without any tenant serves none; a configuration without any serves all.
--- /dev/null
+++ b/tests/test_distributing.py
@@ -0,0 +1,200 @@
+"""What the server and a control machine make of a copy, without processes: tenants in force, their shares, the store
+as it is followed."""
+
+import asyncio
+import logging
+import os
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgpack
+import pytest
+
+from burlloom.distribution.changes import Change, Entry, Head, chained, encode, first_head
+from burlloom.distribution.log import LOG_MOST
+from burlloom.distribution.state import Copy
+from burlloom.distribution.stores.reading import Broken, Reading
+from burlloom.distribution.stores.sqlite import Sqlite
+from burlloom.distribution.table import Table
+from burlloom.distribution.telling import Keys, Telling
+from burlloom.levels.signals import RINGS_MOST, Tenants as Shares
+from burlloom.rpc.requests import Known, Malformed, request
+from burlloom.server.distributing import COUNT_EVERY, Portions, Tenants
+from burlloom.standins.parts import fields
+
+SIGNING = b"s" * 32
+SECOND = 1_000_000_000
+
+
+def tenant(name: str, **value: Any) -> Entry:
+    return Entry("", "tenant", name, msgpack.packb(value))
+
+
+def copy(*entries: Entry) -> Copy:
+    made = Copy(Table(("", "north")), (SIGNING,))
+    made.begin(first_head(1, 0), entries)
+    return made
+
+
+def change(before: Head, *entries: Entry) -> Change:
+    return chained(before, "", encode(entries), 1, SIGNING)
+
+
+def test_requests_are_held_against_the_tenants_in_force() -> None:
+    held = Copy(Table(("", "north")), (SIGNING,))
+    known = Known({"look": False}, Tenants(held, {"acme": 1.0}), 6 * SECOND)
+    told = fields()
+    now = int(told["at"]) * 1_000_000
+
+    def serves(name: Any) -> bool:
+        try:
+            request(None, 1, "look", [{**told, "tenant": name}, b""], known, now)  # type: ignore[arg-type]
+            return True
+        except Malformed:
+            return False
+    assert serves("acme") and not serves("blue") and not serves(7) and not serves(["acme"])
+    held.begin(first_head(1, 0), [tenant("blue")])
+    assert serves("blue") and not serves("acme") and not serves(7) and not serves(["blue"]) and not serves("\ud800")
+    assert held.take(change(held.head or first_head(1, 0), Entry("", "tenant", "blue", None))) is None
+    assert not serves("blue"), "a table without any tenant serves none"
+    assert not Tenants(Copy(Table(("",)), ()), {}), "a configuration without any serves all"
+
+
+def test_shares_follow_the_table() -> None:
+    held = copy(tenant("a", portion=3), tenant("b"), tenant("odd", portion="many"), Entry("", "route", "r", msgpack.packb({})))
+    portions = Portions(held)
+    assert portions.share("a") == 1.0 and portions.share("b") == pytest.approx(1 / 3), "each for one, until counted"
+    for at in range(256):
+        portions.step(at)
+    assert portions.whole == 5.0 and portions.share("a") == pytest.approx(0.6) and portions.share("none") is None
+    assert held.take(change(held.head or first_head(1, 0), tenant("a", portion=8))) is None
+    portions.step(1000)
+    assert portions.bucket < 0, "again only some minutes later"
+    for at in range(256):
+        portions.step(COUNT_EVERY + 1000 + at)
+    assert portions.whole == 10.0 and portions.share("a") == pytest.approx(0.8)
+
+    shares = Shares((), share=portions.share)
+    chance, past = Random(1), {"a": 0, "b": 0}
+    for n in range(3000):
+        name = "b" if chance.random() < 0.6 else "a"
+        past[name] += shares.read(n * SECOND // 100, name)
+    assert past["b"] > 1000 and not past["a"] and not shares.read(0, "none")
+
+
+def test_reads_of_many_tenants_are_counted_for_a_bounded_number() -> None:
+    shares = Shares((), share=lambda name: 1e-5)
+    for n in range(RINGS_MOST + 100):
+        shares.read(n, f"t{n}")
+    assert len(shares.rings) == RINGS_MOST and len(shares.past) <= RINGS_MOST and "t0" not in shares.rings
+
+
+class Told:
+    def __init__(self) -> None:
+        self.loads, self.renewals = 0, 0
+
+    def loaded(self, head: Head) -> None:
+        self.loads += 1
+
+    def renewed(self, seen: Head, own: Head) -> None:
+        self.renewals += 1
+
+
+def test_a_store_is_followed(tmp_path: Path) -> None:
+    async def play() -> None:
+        store, held, told = Sqlite(tmp_path / "changes.db"), Copy(Table(None), (SIGNING,)), Told()
+        await store.open()
+
+        async def put(*entries: Entry, key: bytes = SIGNING) -> None:
+            assert await store.append(chained(await store.head(), "", encode(entries), 1, key))
+        await put(tenant("a"))
+        reading = Reading(store, held, lambda: Table(None), told)
+        await reading.round()
+        assert held.head == await store.head() and held.table.has("tenant", "a") and told.loads == 1
+        for n in range(100):
+            await put(tenant(f"t{n}"))
+        await reading.round()
+        assert held.head == await store.head() and held.table.count("tenant") == 101 and told.loads == 1
+        assert len(held.log) == 100
+
+        # A sync with a peer was under way as the store came back.
+        held.patched = True
+        await reading.round()
+        assert held.whole and told.loads == 2
+
+        # Away for longer than the log reaches.
+        far = held.head
+        assert far is not None
+        await store.run("UPDATE distribution_head SET revision = revision + $1::bigint", 2 * LOG_MOST)
+        await put(tenant("far"))
+        await reading.round()
+        assert told.loads == 3 and held.head == await store.head() and held.table.has("tenant", "far")
+
+        # Put back, and written to past where we are, before we looked.
+        await store.run("UPDATE distribution_head SET revision = 1, tag = $1::bytea", b"t" * 16)
+        await store.run("DELETE FROM distribution_change WHERE revision > $1::bigint", 0)
+        await store.run("DELETE FROM distribution_entry WHERE key = $1::bytea", b"far")
+        before = held.head
+        for n in range(3):
+            await put(tenant(f"other{n}"))
+        await reading.round()  # it is behind
+        assert told.renewals == 1
+        await reading.round()
+        assert told.loads == 4 and held.head is not None and held.head.epoch > before.epoch
+        assert held.table.has("tenant", "other0") and not held.table.has("tenant", "far")
+        await put(tenant("x"))
+        await reading.round()
+        mark = held.head
+        saved = await store.run("SELECT revision, tag FROM distribution_head WHERE id = 1")
+        await put(tenant("y"))
+        await reading.round()
+        await store.run("DELETE FROM distribution_change WHERE revision = $1::bigint", mark.revision + 1)
+        await store.run("UPDATE distribution_head SET revision = $1::bigint, tag = $2::bytea", *saved[0])
+        for name in ("z", "zz"):
+            await put(tenant(name))
+        assert (await store.head()).revision > held.head.revision, "ahead of us, on another way"
+        await reading.round()
+        assert told.renewals == 2
+        await reading.round()
+        assert held.head == await store.head() and held.table.has("tenant", "zz")
+
+        # Chained with another key: not believed, and no epoch begun for it.
+        await put(tenant("evil"), key=b"e" * 32)
+        with pytest.raises(Broken, match="its tag does not follow"):
+            await reading.round()
+        assert told.renewals == 2 and not held.table.has("tenant", "evil")
+        await store.close()
+    asyncio.run(play())
+
+
+def test_lines_tell_what_was_applied(caplog: pytest.LogCaptureFixture) -> None:
+    held = Copy(Table(("", "north")), (SIGNING,))
+    telling = Telling(held)
+    with caplog.at_level(logging.INFO):
+        telling.look()
+        held.begin(first_head(7, 0))
+        for n in range(3):
+            assert held.head is not None and held.take(change(held.head, tenant(f"t{n}"))) is None
+        telling.look()
+        telling.look()
+        assert held.head is not None and held.take(change(held.head, tenant("u"))) is None
+        telling.look()
+        held.settle(held.head._replace(revision=20))
+        telling.look()
+    lines = [line.getMessage().split(" tag=")[0] for line in caplog.records]
+    assert lines == ["event=distribution-synced epoch=7 revision=0", "event=distribution-applied epoch=7 from=1 to=3",
+                     "event=distribution-applied epoch=7 from=4 to=4", "event=distribution-synced epoch=7 revision=20"]
+
+
+def test_a_key_file_that_can_not_be_used_changes_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "key"
+    path.write_text("aa" * 16)
+    keys = Keys(path, lambda: tuple(bytes.fromhex(line) for line in path.read_text().split()), "seals")
+    assert not keys.changed()
+    for at, (text, changed, count) in enumerate((("bb" * 16 + "\n" + "aa" * 16, True, 2), ("no hex", False, 2), ("", False, 2),
+                                                 ("cc" * 16, True, 1))):
+        path.write_text(text)
+
+        os.utime(path, (at, at))
+        assert keys.changed() == changed and len(keys.keys) == count
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -15,8 +15,7 @@
 from typing import Any
 
 import pytest
-from distribution_rig import KEY, SIGNING, Machine, World, patiently, tenant, without
-from rig import until
+from distribution_rig import KEY, SIGNING, World, patiently, tenant, without
 from test_command import burlloom
 
 from burlloom.operator import Faults, load
@@ -247,7 +246,8 @@
     reason = "not sealed with our key"
     await patiently(lambda: made.machines[0].state()["counts"]["refused"].get(reason, 0) > 2)
     assert "event=distribution-not-in-force" in stranger.log() and f"reason='{reason}'" in made.machines[0].log()
-    assert "n2" not in made.machines[0].log() and stranger.state()["state"] == "alone"
+    assert "n2" not in made.machines[0].log() and stranger.state()["revision"] is None
+    await patiently(lambda: stranger.state()["state"] == "alone", stranger.state)
     assert f": {reason}" in await made.command(made.machines[0], "show")
     made.nodes.remove(stranger)
     for task in stranger.working:
