--- a/tests/test_distribution_stores.py
+++ b/tests/test_distribution_stores.py
@@ -9,6 +9,7 @@
 import msgpack
 import pytest
 from fleet_rig import KEY
+from test_command import burlloom, filled
 
 from burlloom.distribution.changes import Change, Entry, Head, break_of, chained, encode, head_of
 from burlloom.distribution.log import LOG_MOST
@@ -132,6 +133,27 @@
     asyncio.run(play())
 
 
+def test_a_restored_record_keeps_its_configuration_in_a_new_epoch(tmp_path: Path) -> None:
+    path = filled(tmp_path)
+
+    async def play() -> None:
+        store = Sqlite(tmp_path / "record.db")
+        await store.open()
+        await append(store, ("tenant", "kept", value()))
+        before = await store.head()
+        burlloom("record", "snapshot", tmp_path / "copy.db", "-o", path)
+        await append(store, ("tenant", "lost", value()))
+        await store.close()
+        burlloom("record", "restore", tmp_path / "copy.db", "--window-s", 18, "-o", path)
+        store = Sqlite(tmp_path / "record.db")
+        await store.open()
+        head = await store.head()
+        assert head.epoch > before.epoch and head.revision == 0 and await store.since(0, 9) == []
+        assert list(await all_of(store, 9)) == [("", "tenant", "kept")]
+        await store.close()
+    asyncio.run(play())
+
+
 def test_the_log_is_pruned(tmp_path: Path) -> None:
     async def play() -> None:
         store = Sqlite(tmp_path / "changes.db")
