--- a/burlloom/command/distribution.py
+++ b/burlloom/command/distribution.py
@@ -42,10 +42,12 @@
 
 def store_of(told: "Operator") -> "ChangeStore":
     from ..distribution.stores.opening import store_at
+
     place = told.distribution_store()
     if place is None:
-        raise click.UsageError("distribution.store is missing, and there is no record: changes are kept by control"
-                               " machines")
+        raise click.UsageError(
+            "distribution.store is missing, and there is no record: changes are kept by control machines"
+        )
     with told_plainly():
         return store_at(place)
 
@@ -61,6 +63,7 @@
     from ..distribution.endpoint import bound
     from ..distribution.telling import Keys
     from ..server.logs import set_up
+
     told, part = part_of(operator)
     store = store_of(told) if told.distribution_store() is not None else None
     if store is None and not part.upstreams:
@@ -70,19 +73,30 @@
         exposed = None
         if told.metrics is not None:
             from ..metrics import Exposed
+
             listen = told.metrics.listen.rsplit(":", 1) if told.metrics.listen is not None else None
-            exposed = Exposed(Path(told.metrics.file) if told.metrics.file is not None else None,
-                              told.metrics.every_ms / 1000, (listen[0], int(listen[1])) if listen else None)
+            exposed = Exposed(
+                Path(told.metrics.file) if told.metrics.file is not None else None,
+                told.metrics.every_ms / 1000,
+                (listen[0], int(listen[1])) if listen else None,
+            )
     except OSError as error:
         click.echo(f"burlloom: distribution.listen or metrics.listen: {error.strerror}", err=True)
         sys.exit(2)
     set_up()
 
     async def run() -> None:
-        control = Control(name or socket.gethostname(), part.region, sock,
-                          Keys(Path(part.key_file), part.keys, "seals"),
-                          Keys(Path(part.signing_key_file), part.signing_keys, "signing"), part.terms(),
-                          part.followed(), store, part.state_file)
+        control = Control(
+            name or socket.gethostname(),
+            part.region,
+            sock,
+            Keys(Path(part.key_file), part.keys, "seals"),
+            Keys(Path(part.signing_key_file), part.signing_keys, "signing"),
+            part.terms(),
+            part.followed(),
+            store,
+            part.state_file,
+        )
         if exposed is not None:
             exposed.numbers("burlloom_distribution", control.metrics, control.gauges)
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -92,15 +106,18 @@
             exposed.close()
 
     import uvloop
+
     uvloop.run(run())
 
 
 # Changes.
 
+
 def read_changes(text: str) -> tuple[list[tuple[int, str, list["Entry"]]], list[str]]:
     """Line, scope and entries of each change, and all faults, each with line and place."""
     from ..distribution.changes import Refused, first_head
     from ..distribution.origin import propose
+
     found: list[tuple[int, str, list[Entry]]] = []
     faults: list[str] = []
     for at, line in enumerate(text.splitlines(), 1):
@@ -129,6 +146,7 @@
     import msgpack
 
     from ..distribution.changes import Entry
+
     if not isinstance(got, dict):
         return "", [], ["no object"]
     wrong = [f"{name}: unknown key" for name in got if name not in ("scope", "entries")]
@@ -160,6 +178,7 @@
 def meaning(entry: "Entry") -> list[str]:
     """Faults of what an entry says."""
     import msgpack
+
     if entry.kind != "tenant" or entry.value is None:
         return []
     portion = msgpack.unpackb(entry.value).get("portion", 1)
@@ -174,8 +193,9 @@
 def put(operator: Path | None, file: Path) -> None:
     """Put the changes of FILE, a line of JSON each, into the store, in order.
 
-    {"scope": "", "entries": [{"kind": "tenant", "key": "acme", "value": {"portion": 2}}, ...]}; a value of null
-    deletes. Of a file with any fault nothing is taken: all are told, each with its line and place."""
+    {"scope": "", "entries": [{"kind": "tenant", "key": "acme", "value": {"portion": 2}}, ...]}; a value
+    of null deletes. Of a file with any fault nothing is taken: all are told, each with its line and
+    place."""
     told, part = part_of(operator)
     try:
         if file.stat().st_size > FILE_MOST:
@@ -192,17 +212,22 @@
         sys.exit(2)
     taken, last, away = asyncio.run(append_all(store_of(told), changes, part.signing_keys()[0]))
     if taken < len(changes):
-        click.echo(f"burlloom: {away}; {taken} of {len(changes)} changes were taken, up to line"
-                   f" {changes[taken - 1][0] if taken else 0}. Put the file again once the store is back: a change that"
-                   " is there already does no harm", err=True)
+        click.echo(
+            f"burlloom: {away}; {taken} of {len(changes)} changes were taken, up to line"
+            f" {changes[taken - 1][0] if taken else 0}. Put the file again once the store is back: a change"
+            " that is there already does no harm",
+            err=True,
+        )
         sys.exit(1)
     click.echo(f"{taken} changes taken; the last is revision {last}")
 
 
-async def append_all(store: "ChangeStore", changes: list[tuple[int, str, list["Entry"]]],
-                     key: bytes) -> tuple[int, int, str]:
+async def append_all(
+    store: "ChangeStore", changes: list[tuple[int, str, list["Entry"]]], key: bytes
+) -> tuple[int, int, str]:
     """How many were taken, the last revision, and why not more."""
     from ..distribution.stores import Away
+
     taken = last = tries = 0
     opened, sent, said = False, None, ""
     try:
@@ -232,11 +257,13 @@
 
 async def propose_next(store: "ChangeStore", scope: str, entries: list["Entry"], key: bytes) -> Any:
     from ..distribution.origin import propose
+
     return propose(await store.head(), scope, entries, time.time_ns() // MS, key, meaning)
 
 
 # Looks.
 
+
 def ms_told(ms: int | None) -> str:
     return "never" if ms is None else f"{ms / 1000:.1f} s"
 
@@ -253,19 +280,34 @@
         return
     old = (time.time_ns() - state["told_at"]) / SECOND
     stands = state.get("state", state["role"])
-    click.echo(f"{state['name']} ({state['role']}, {state['region']}): "
-               + (f"epoch {state['epoch']} revision {state['revision']}" if state["revision"] is not None
-                  else "nothing in force")
-               + f", {stands}, surely the newest {ms_told(state['age_ms'])} ago"
-               + (f"; told {old:.0f} s ago: it does not serve" if old > STALE_S else ""))
-    click.echo("  " + ", ".join(f"{count} {kind}s" for kind, count in state["entries"].items())
-               + f"; digest {state['digest']}")
+    click.echo(
+        f"{state['name']} ({state['role']}, {state['region']}): "
+        + (
+            f"epoch {state['epoch']} revision {state['revision']}"
+            if state["revision"] is not None
+            else "nothing in force"
+        )
+        + f", {stands}, surely the newest {ms_told(state['age_ms'])} ago"
+        + (f"; told {old:.0f} s ago: it does not serve" if old > STALE_S else "")
+    )
+    click.echo(
+        "  "
+        + ", ".join(f"{count} {kind}s" for kind, count in state["entries"].items())
+        + f"; digest {state['digest']}"
+    )
     if state["role"] == "server":
         click.echo(f"  follows {state['upstream']}")
     else:
-        click.echo(f"  {state['followers']} of at most {state['followers_most']} follow, {state['behind']} of them"
-                   " behind" + (f"; the lowest has revision {state['lowest_revision']}, and lacks a change that is"
-                                f" {ms_told(state['lacking_ms'])} old" if state["behind"] else ""))
+        click.echo(
+            f"  {state['followers']} of at most {state['followers_most']} follow, {state['behind']} of them"
+            " behind"
+            + (
+                f"; the lowest has revision {state['lowest_revision']}, and lacks a change that is"
+                f" {ms_told(state['lacking_ms'])} old"
+                if state["behind"]
+                else ""
+            )
+        )
         if state["store_away"]:
             click.echo(f"  the store is away: {state['store_away']}")
         if state["follows"] is not None:
@@ -280,14 +322,16 @@
 @click.argument("kind", type=click.Choice(KINDS))
 @click.argument("key")
 def explain(operator: Path | None, kind: str, key: str) -> None:
-    """The value in force of KIND KEY, in which scope, and the revision that wrote it: of the store, or, where this
-    file names none, of the first upstream that answers."""
+    """The value in force of KIND KEY, in which scope, and the revision that wrote it: of the store, or,
+    where this file names none, of the first upstream that answers."""
     import msgpack
+
     told, part = part_of(operator)
     if told.distribution_store() is not None:
         found, where = asyncio.run(of_store(store_of(told), part.region, kind, key))
     else:
         from ..distribution.asking import ask
+
         found, where = asyncio.run(ask(part.followed(), part.region, part.keys()[0], kind, key))
     if found is None:
         click.echo(f"burlloom: {where}", err=True)
@@ -296,8 +340,10 @@
     if not found:
         click.echo(f"{kind} {key}: not in force in {part.region}")
     for at, (scope, value, written) in enumerate(found):
-        click.echo(f"{kind} {key}: {json.dumps(msgpack.unpackb(value))}, of {scope or 'everywhere'}{written}"
-                   + (", in force" if not at else ", hidden by the region's own"))
+        click.echo(
+            f"{kind} {key}: {json.dumps(msgpack.unpackb(value))}, of {scope or 'everywhere'}{written}"
+            + (", in force" if not at else ", hidden by the region's own")
+        )
 
 
 Found = list[tuple[str, bytes, str]]  # scope, value, when it was written; the one in force first
@@ -305,6 +351,7 @@
 
 async def of_store(store: "ChangeStore", region: str, kind: str, key: str) -> tuple[Found | None, str]:
     from ..distribution.stores import Away
+
     try:
         await store.open()
         head = await store.head()
@@ -315,7 +362,9 @@
                 assert stored.entry.value is not None
                 change = await store.at(stored.revision) if stored.epoch == head.epoch else None
                 old = f", {ms_told(time.time_ns() // MS - change.time_ms)} ago" if change is not None else ""
-                found.append((scope, stored.entry.value, f", epoch {stored.epoch} revision {stored.revision}{old}"))
+                found.append(
+                    (scope, stored.entry.value, f", epoch {stored.epoch} revision {stored.revision}{old}")
+                )
         return found, f"store: epoch {head.epoch} revision {head.revision}"
     except Away as error:
         return None, str(error)
@@ -326,11 +375,11 @@
 @distribution.command()
 @click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
 def key(file: Path) -> None:
-    """Add a new key as the last line of FILE, which is made if there is none (mode 600); for `key_file` and for
-    `signing_key_file`, one file each.
+    """Add a new key as the last line of FILE, which is made if there is none (mode 600); for `key_file`
+    and for `signing_key_file`, one file each.
 
-    To change keys while all runs: add it everywhere, then move it to the first line everywhere, then take the old
-    one away. Each process looks at its files once a second."""
+    To change keys while all runs: add it everywhere, then move it to the first line everywhere, then take
+    the old one away. Each process looks at its files once a second."""
     made = secrets.token_hex(32)
     handle = os.open(file, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
     with os.fdopen(handle, "a", encoding="ascii") as out:
--- a/burlloom/distribution/control.py
+++ b/burlloom/distribution/control.py
@@ -50,11 +50,22 @@
 
 
 class Control:
-    """`store`: None at a relay, which follows `upstreams` alone; with one, they are followed while it is away."""
+    """`store`: None at a relay, which follows `upstreams` alone; with one, they are followed while it is
+    away."""
 
-    def __init__(self, name: str, region: str, sock: socket.socket, seals: Keys, signing: Keys, terms: Terms,
-                 upstreams: Iterable[Upstream], store: ChangeStore | None, state_file: str | None = None,
-                 seed: int | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        sock: socket.socket,
+        seals: Keys,
+        signing: Keys,
+        terms: Terms,
+        upstreams: Iterable[Upstream],
+        store: ChangeStore | None,
+        state_file: str | None = None,
+        seed: int | None = None,
+    ) -> None:
         self.name, self.region, self.seals, self.signing, self.terms = name, region, seals, signing, terms
         self.upstreams = [one for one in upstreams if one.name != name]
         self.store, self.state_file = store, state_file
@@ -82,8 +93,14 @@
 
     async def run(self) -> None:
         await self.endpoint.open()
-        log.info("event=distribution-control name=%s region=%s address=%s store=%s peers=%d", self.name, self.region,
-                 self.endpoint.address, "yes" if self.store is not None else "no", len(self.upstreams))
+        log.info(
+            "event=distribution-control name=%s region=%s address=%s store=%s peers=%d",
+            self.name,
+            self.region,
+            self.endpoint.address,
+            "yes" if self.store is not None else "no",
+            len(self.upstreams),
+        )
         tasks = [asyncio.create_task(self.keep(), name="distribution")]
         if self.reading is not None:
             tasks.append(asyncio.create_task(self.follow_store(self.reading), name="store"))
@@ -144,8 +161,12 @@
 
     def renewed(self, seen: Head, own: Head) -> None:
         self.counts.renewals += 1
-        log.warning("event=distribution-epoch-begun was=%d store_had=%d we_had=%d detail='the store was put back'",
-                    seen.epoch, seen.revision, own.revision)
+        log.warning(
+            "event=distribution-epoch-begun was=%d store_had=%d we_had=%d detail='the store was put back'",
+            seen.epoch,
+            seen.revision,
+            own.revision,
+        )
 
     # Datagrams.
 
@@ -176,8 +197,17 @@
         if wanted and self.follower is None:
             # A life of its own: its numbers begin anew.
             self.life = max(self.life + 1, time.time_ns() // MS)
-            self.follower = Follower(self.copy, self.name, self.life, self.region, self.upstreams, self.seals.keys,
-                                     self.terms, self.chance, now)
+            self.follower = Follower(
+                self.copy,
+                self.name,
+                self.life,
+                self.region,
+                self.upstreams,
+                self.seals.keys,
+                self.terms,
+                self.chance,
+                now,
+            )
             log.info("event=distribution-follows-peers peers=%d", len(self.upstreams))
         elif not wanted and self.follower is not None:
             self.follower.leave()
@@ -215,12 +245,14 @@
             write_state(self.state_file, self.summary(now))
 
     def lowest(self) -> tuple[int | None, int]:
-        """Of who follows, within our epoch: the lowest revision, and for how many ms the first change that one of
-        them lacks has been there. One of another epoch has 0."""
+        """Of who follows, within our epoch: the lowest revision, and for how many ms the first change
+        that one of them lacks has been there. One of another epoch has 0."""
         head = self.copy.head
         if head is None or not self.source.followers:
             return None, 0
-        lowest = min(lease.revision if lease.epoch == head.epoch else 0 for lease in self.source.followers.values())
+        lowest = min(
+            lease.revision if lease.epoch == head.epoch else 0 for lease in self.source.followers.values()
+        )
         lacked = self.copy.log.since(lowest, 1)
         if lowest >= head.revision:
             return lowest, 0
@@ -229,25 +261,43 @@
 
     def summary(self, now: int) -> dict[str, object]:
         lowest, lacking = self.lowest()
-        return {"told_at": time.time_ns(), "role": "control" if self.store is not None else "relay",
-                "region": self.region, "address": self.endpoint.address, **source_summary(self.source, now),
-                **held(self.copy), "lowest_revision": lowest, "lacking_ms": lacking, "store_away": self.away,
-                "store": {name: getattr(self.counts, name) for name in Counts.__slots__},
-                "follows": follower_summary(self.follower, now) if self.follower is not None else None}
+        return {
+            "told_at": time.time_ns(),
+            "role": "control" if self.store is not None else "relay",
+            "region": self.region,
+            "address": self.endpoint.address,
+            **source_summary(self.source, now),
+            **held(self.copy),
+            "lowest_revision": lowest,
+            "lacking_ms": lacking,
+            "store_away": self.away,
+            "store": {name: getattr(self.counts, name) for name in Counts.__slots__},
+            "follows": follower_summary(self.follower, now) if self.follower is not None else None,
+        }
 
     def metrics(self) -> dict[str, int]:
         counts = self.source.counts
         told = {name: getattr(counts, name) for name in type(counts).__slots__ if name != "refused"}
-        return {**told, "refused": sum(counts.refused.values()), "unsent": self.endpoint.unsent,
-                **{f"store_{name}": getattr(self.counts, name) for name in Counts.__slots__}}
+        return {
+            **told,
+            "refused": sum(counts.refused.values()),
+            "unsent": self.endpoint.unsent,
+            **{f"store_{name}": getattr(self.counts, name) for name in Counts.__slots__},
+        }
 
     def gauges(self) -> dict[str, float]:
         """The age is NaN where nothing is in force."""
         head, age = self.copy.head, self.age(since_start())
         lowest, lacking = self.lowest()
-        return {"epoch": float(head.epoch) if head else 0.0, "revision": float(head.revision) if head else 0.0,
-                "age_seconds": age / 1000 if age is not None else float("nan"),
-                "followers": float(len(self.source.followers)), "store_away_now": float(bool(self.away)),
-                "follows_peers": float(self.follower is not None), "lacking_seconds": lacking / 1000,
-                "lowest_revision": float(lowest) if lowest is not None else float("nan"),
-                "tenants": float(self.copy.table.count("tenant")), "routes": float(self.copy.table.count("route"))}
+        return {
+            "epoch": float(head.epoch) if head else 0.0,
+            "revision": float(head.revision) if head else 0.0,
+            "age_seconds": age / 1000 if age is not None else float("nan"),
+            "followers": float(len(self.source.followers)),
+            "store_away_now": float(bool(self.away)),
+            "follows_peers": float(self.follower is not None),
+            "lacking_seconds": lacking / 1000,
+            "lowest_revision": float(lowest) if lowest is not None else float("nan"),
+            "tenants": float(self.copy.table.count("tenant")),
+            "routes": float(self.copy.table.count("route")),
+        }
--- a/burlloom/distribution/endpoint.py
+++ b/burlloom/distribution/endpoint.py
@@ -41,7 +41,9 @@
         self.said_at, self.said = 0, 0
 
     async def open(self) -> None:
-        self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, sock=self.sock)
+        self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, sock=self.sock
+        )
 
     def flush(self, out: deque[tuple[Address, bytes]]) -> None:
         while out:
--- a/burlloom/distribution/stores/opening.py
+++ b/burlloom/distribution/stores/opening.py
@@ -14,9 +14,11 @@
     """Raises `record.store.Refused`."""
     if place.sqlite is not None:
         from .sqlite import Sqlite
+
         return Sqlite(place.sqlite.place())
     from ...record.postgres import Postgres as Record
     from .postgres import Postgres
+
     record, _ = store_of(place, "-", keep=0, clock=time.time_ns)
     assert isinstance(record, Record)
     return Postgres(record)
--- a/burlloom/distribution/stores/postgres.py
+++ b/burlloom/distribution/stores/postgres.py
@@ -51,6 +51,7 @@
                 for sql, values in rest:
                     await link.fetch(sql, *values)
             return True
+
         held: bool = await self.guarded(work)
         return held
 
--- a/burlloom/distribution/stores/reading.py
+++ b/burlloom/distribution/stores/reading.py
@@ -37,12 +37,15 @@
         if not self.opened:
             await self.store.open()
             self.opened = True
-        own = self.copy.head  # before the store is asked: what a peer tells us meanwhile is not behind its answer
+        own = (
+            self.copy.head
+        )  # before the store is asked: what a peer tells us meanwhile is not behind its answer
         head = await self.store.head()
         if own is None:
             await self.load()
         elif (head.epoch, head.revision) < (own.epoch, own.revision) or (
-                (head.epoch, head.revision) == (own.epoch, own.revision) and head.tag != own.tag):
+            (head.epoch, head.revision) == (own.epoch, own.revision) and head.tag != own.tag
+        ):
             await self.renew(head, own)
         elif not self.copy.whole or head.epoch > own.epoch:
             await self.load()
--- a/burlloom/distribution/stores/sqlite.py
+++ b/burlloom/distribution/stores/sqlite.py
@@ -45,6 +45,7 @@
                 db.close()
                 raise
             self.db, self.file = db, self.path.stat().st_ino
+
         await self.in_thread(work)
 
     async def run(self, sql: str, *values: Any) -> list[Any]:
@@ -64,6 +65,7 @@
                 if db.in_transaction:
                     db.execute("ROLLBACK")
                 raise
+
         return await self.in_thread(work)
 
     async def close(self) -> None:
--- a/burlloom/distribution/stores/tables.py
+++ b/burlloom/distribution/stores/tables.py
@@ -11,42 +11,65 @@
 Statement = tuple[str, tuple[Any, ...]]
 
 # An epoch that begins is beyond all that there were: it is told by the clock.
-BEGIN = ("INSERT INTO distribution_head (id, epoch, revision, tag, time_ms)"
-         " VALUES (1, $1::bigint, 0, $2::bytea, $3::bigint) ON CONFLICT (id) DO NOTHING RETURNING revision")
+BEGIN = (
+    "INSERT INTO distribution_head (id, epoch, revision, tag, time_ms)"
+    " VALUES (1, $1::bigint, 0, $2::bytea, $3::bigint) ON CONFLICT (id) DO NOTHING RETURNING revision"
+)
 HEAD = "SELECT epoch, revision, tag, time_ms FROM distribution_head WHERE id = 1"
-ADVANCE = ("UPDATE distribution_head SET revision = $1::bigint, tag = $2::bytea, time_ms = $3::bigint"
-           " WHERE id = 1 AND epoch = $4::bigint AND revision = $1::bigint - 1 RETURNING revision")
-RENEW = ("UPDATE distribution_head SET epoch = $1::bigint, revision = 0, tag = $2::bytea, time_ms = $3::bigint"
-         " WHERE id = 1 AND epoch = $4::bigint AND revision = $5::bigint AND tag = $6::bytea RETURNING revision")
+ADVANCE = (
+    "UPDATE distribution_head SET revision = $1::bigint, tag = $2::bytea, time_ms = $3::bigint"
+    " WHERE id = 1 AND epoch = $4::bigint AND revision = $1::bigint - 1 RETURNING revision"
+)
+RENEW = (
+    "UPDATE distribution_head SET epoch = $1::bigint, revision = 0, tag = $2::bytea, time_ms = $3::bigint"
+    " WHERE id = 1 AND epoch = $4::bigint AND revision = $5::bigint AND tag = $6::bytea RETURNING revision"
+)
 FORGET = "DELETE FROM distribution_change WHERE revision > -1 RETURNING revision"
-INSERT = ("INSERT INTO distribution_change (revision, epoch, time_ms, scope, body, tag) VALUES ($1::bigint,"
-          " $2::bigint, $3::bigint, $4::bytea, $5::bytea, $6::bytea) RETURNING revision")
+INSERT = (
+    "INSERT INTO distribution_change (revision, epoch, time_ms, scope, body, tag) VALUES ($1::bigint,"
+    " $2::bigint, $3::bigint, $4::bytea, $5::bytea, $6::bytea) RETURNING revision"
+)
 PRUNE = "DELETE FROM distribution_change WHERE revision <= $1::bigint RETURNING revision"
-SINCE = ("SELECT epoch, revision, time_ms, scope, body, tag FROM distribution_change WHERE revision > $1::bigint"
-         " ORDER BY revision LIMIT $2::bigint")
-PUT = ("INSERT INTO distribution_entry (scope, kind, key, value, epoch, revision) VALUES ($1::bytea, $2::bytea,"
-       " $3::bytea, $4::bytea, $5::bigint, $6::bigint) ON CONFLICT (scope, kind, key) DO UPDATE SET"
-       " value = excluded.value, epoch = excluded.epoch, revision = excluded.revision RETURNING revision")
-DELETE = ("DELETE FROM distribution_entry WHERE scope = $1::bytea AND kind = $2::bytea AND key = $3::bytea"
-          " RETURNING revision")
-PAGE = ("SELECT scope, kind, key, value, epoch, revision FROM distribution_entry"
-        " ORDER BY scope, kind, key LIMIT $1::bigint")
-PAGE_AFTER = ("SELECT scope, kind, key, value, epoch, revision FROM distribution_entry"
-              " WHERE (scope, kind, key) > ($2::bytea, $3::bytea, $4::bytea)"
-              " ORDER BY scope, kind, key LIMIT $1::bigint")
-ENTRY = ("SELECT scope, kind, key, value, epoch, revision FROM distribution_entry"
-         " WHERE scope = $1::bytea AND kind = $2::bytea AND key = $3::bytea")
+SINCE = (
+    "SELECT epoch, revision, time_ms, scope, body, tag FROM distribution_change WHERE revision > $1::bigint"
+    " ORDER BY revision LIMIT $2::bigint"
+)
+PUT = (
+    "INSERT INTO distribution_entry (scope, kind, key, value, epoch, revision) VALUES ($1::bytea, $2::bytea,"
+    " $3::bytea, $4::bytea, $5::bigint, $6::bigint) ON CONFLICT (scope, kind, key) DO UPDATE SET"
+    " value = excluded.value, epoch = excluded.epoch, revision = excluded.revision RETURNING revision"
+)
+DELETE = (
+    "DELETE FROM distribution_entry WHERE scope = $1::bytea AND kind = $2::bytea AND key = $3::bytea"
+    " RETURNING revision"
+)
+PAGE = (
+    "SELECT scope, kind, key, value, epoch, revision FROM distribution_entry"
+    " ORDER BY scope, kind, key LIMIT $1::bigint"
+)
+PAGE_AFTER = (
+    "SELECT scope, kind, key, value, epoch, revision FROM distribution_entry"
+    " WHERE (scope, kind, key) > ($2::bytea, $3::bytea, $4::bytea)"
+    " ORDER BY scope, kind, key LIMIT $1::bigint"
+)
+ENTRY = (
+    "SELECT scope, kind, key, value, epoch, revision FROM distribution_entry"
+    " WHERE scope = $1::bytea AND kind = $2::bytea AND key = $3::bytea"
+)
 
 
 def change_of(row: Any) -> Change:
     epoch, revision, time_ms, scope, body, tag = row
-    return Change(epoch, revision, time_ms, bytes(scope).decode(), bytes(body), bytes(tag),
-                  digest_of_body(bytes(body)))
+    return Change(
+        epoch, revision, time_ms, bytes(scope).decode(), bytes(body), bytes(tag), digest_of_body(bytes(body))
+    )
 
 
 def stored_of(row: Any) -> Stored:
     scope, kind, key, value, epoch, revision = row
-    return Stored(Entry(bytes(scope).decode(), bytes(kind).decode(), bytes(key).decode(), bytes(value)), epoch, revision)
+    return Stored(
+        Entry(bytes(scope).decode(), bytes(kind).decode(), bytes(key).decode(), bytes(value)), epoch, revision
+    )
 
 
 def place_of(*names: str) -> tuple[bytes, ...]:
@@ -55,8 +78,8 @@
 
 
 class Tables:
-    """`ChangeStore` over `run`, one statement and its rows, and `together`, a transaction, which a store gives.
-    Both raise `Away`."""
+    """`ChangeStore` over `run`, one statement and its rows, and `together`, a transaction, which a store
+    gives. Both raise `Away`."""
 
     async def run(self, sql: str, *values: Any) -> list[Any]:
         raise NotImplementedError
@@ -77,7 +100,7 @@
         found = await self.run(HEAD)
         if not found:
             raise Away("the head is gone: its table is empty")
-        (epoch, revision, tag, time_ms), = found
+        ((epoch, revision, tag, time_ms),) = found
         return Head(epoch, revision, bytes(tag), time_ms)
 
     async def since(self, revision: int, most: int) -> list[Change]:
@@ -90,16 +113,23 @@
     async def append(self, change: Change) -> bool:
         assert change.body is not None
         scope, revision = change.scope.encode(), change.revision
-        rest: list[Statement] = [(INSERT, (revision, change.epoch, change.time_ms, scope, change.body, change.tag))]
+        rest: list[Statement] = [
+            (INSERT, (revision, change.epoch, change.time_ms, scope, change.body, change.tag))
+        ]
         for entry in decode(change.scope, change.body):
             place = place_of(entry.scope, entry.kind, entry.key)
-            rest.append((DELETE, place) if entry.value is None else (PUT, (*place, entry.value, change.epoch,
-                                                                                    revision)))
+            rest.append(
+                (DELETE, place)
+                if entry.value is None
+                else (PUT, (*place, entry.value, change.epoch, revision))
+            )
         rest.append((PRUNE, (revision - LOG_MOST,)))
         return await self.together((ADVANCE, (revision, change.tag, change.time_ms, change.epoch)), rest)
 
     async def entries(self, after: Place | None, most: int) -> list[Stored]:
-        rows = await (self.run(PAGE, most) if after is None else self.run(PAGE_AFTER, most, *place_of(*after)))
+        rows = await (
+            self.run(PAGE, most) if after is None else self.run(PAGE_AFTER, most, *place_of(*after))
+        )
         return [stored_of(row) for row in rows]
 
     async def entry(self, scope: str, kind: str, key: str) -> Stored | None:
@@ -108,5 +138,6 @@
     async def renew(self, seen: Head, beyond: int) -> bool:
         now = time.time_ns() // 1_000_000
         head = first_head(max(seen.epoch + 1, beyond + 1, now), max(seen.time_ms, now))
-        return await self.together((RENEW, (head.epoch, head.tag, head.time_ms, seen.epoch, seen.revision, seen.tag)),
-                                   [(FORGET, ())])
+        return await self.together(
+            (RENEW, (head.epoch, head.tag, head.time_ms, seen.epoch, seen.revision, seen.tag)), [(FORGET, ())]
+        )
--- a/burlloom/distribution/telling.py
+++ b/burlloom/distribution/telling.py
@@ -13,8 +13,9 @@
 
 
 class Telling:
-    """Looked at some times a second. From line to line `from` is the revision after the last `to`: all that was
-    applied in between, in the chain's order, of which `tag` is the end; or else a sync set all at once."""
+    """Looked at some times a second. From line to line `from` is the revision after the last `to`: all
+    that was applied in between, in the chain's order, of which `tag` is the end; or else a sync set all
+    at once."""
 
     def __init__(self, copy: Copy) -> None:
         self.copy, self.head = copy, copy.head
@@ -31,8 +32,14 @@
             if at == head.revision:
                 return
             before = Head(head.epoch, at, b"", 0)
-        log.info("event=distribution-applied epoch=%d from=%d to=%d tag=%s time_ms=%d", head.epoch,
-                 before.revision + 1, head.revision, head.tag.hex(), head.time_ms)
+        log.info(
+            "event=distribution-applied epoch=%d from=%d to=%d tag=%s time_ms=%d",
+            head.epoch,
+            before.revision + 1,
+            head.revision,
+            head.tag.hex(),
+            head.time_ms,
+        )
 
 
 class Keys:
@@ -81,5 +88,7 @@
 def held(copy: Copy) -> dict[str, object]:
     """Of a copy, for the state's file."""
     table = copy.table
-    return {"digest": f"{table.digest():016x}", "entries": {kind: table.count(kind)
-                                                            for kind in ("tenant", "route", "setting")}}
+    return {
+        "digest": f"{table.digest():016x}",
+        "entries": {kind: table.count(kind) for kind in ("tenant", "route", "setting")},
+    }
--- a/burlloom/operator/distribution.py
+++ b/burlloom/operator/distribution.py
@@ -1,5 +1,5 @@
-"""The operator's word on configuration that is carried to the servers: who is followed, by which keys, what is
-told where."""
+"""The operator's word on configuration that is carried to the servers: who is followed, by which keys,
+what is told where."""
 
 from dataclasses import replace
 from pathlib import Path
@@ -30,13 +30,14 @@
 
 class DistributionPart(Part):
     """`listen`: where this one hears the others (UDP); `advertise`: where they reach it, if elsewhere.
-    `upstreams`: whom it may follow, its own region's first; at a control machine its peers, for when the store
-    is away.
+    `upstreams`: whom it may follow, its own region's first; at a control machine its peers, for when the
+    store is away.
 
-    `key_file`: one key in hex on a line; the first seals datagrams, all open. `signing_key_file`: as well; the first
-    chains changes, any is believed: the same for all, and for nobody else. `followers_most` and `page_rate`
-    (bytes/s, for whole tables): what a control machine bears. `wait_ms`: how long a server waits for its first
-    sync before it listens; then it serves with its configuration's tenants. `state_file`: written each second."""
+    `key_file`: one key in hex on a line; the first seals datagrams, all open. `signing_key_file`: as
+    well; the first chains changes, any is believed: the same for all, and for nobody else.
+    `followers_most` and `page_rate` (bytes/s, for whole tables): what a control machine bears. `wait_ms`:
+    how long a server waits for its first sync before it listens; then it serves with its configuration's
+    tenants. `state_file`: written each second."""
 
     listen: Host
     advertise: Host | None = None
@@ -53,9 +54,14 @@
     def faults(self) -> list[str]:
         """What no single value can tell, each with its place."""
         from ..fleet.letters import KEY_LEAST, address_of
+
         wrong = []
-        if address_of(self.listen) is None and not (self.listen.endswith(":0") and address_of(self.listen + "1")):
-            wrong.append(f"listen: {self.listen!r} is no IPv4 address with a port")  # 0: one that the system gives
+        if address_of(self.listen) is None and not (
+            self.listen.endswith(":0") and address_of(self.listen + "1")
+        ):
+            wrong.append(
+                f"listen: {self.listen!r} is no IPv4 address with a port"
+            )  # 0: one that the system gives
         if self.advertise is not None and address_of(self.advertise) is None:
             wrong.append(f"advertise: {self.advertise!r} is no IPv4 address with a port")
         names: dict[str, int] = {}
@@ -68,13 +74,17 @@
                 if value in seen:
                     wrong.append(f"{place}.{what}: {value} stands twice, also in upstreams[{seen[value]}]")
                 seen.setdefault(value, at)
-        for what, file, least in (("key_file", self.key_file, KEY_LEAST),
-                                  ("signing_key_file", self.signing_key_file, SIGNING_LEAST)):
+        for what, file, least in (
+            ("key_file", self.key_file, KEY_LEAST),
+            ("signing_key_file", self.signing_key_file, SIGNING_LEAST),
+        ):
             try:
                 keys = read_keys(Path(file))
                 if not keys or len(keys) > KEYS_MOST or any(not least <= len(key) <= 64 for key in keys):
-                    wrong.append(f"{what}: {file}: each line wants a key of {least} to 64 bytes, in hex, and there"
-                                 f" are at most {KEYS_MOST}; `burlloom distribution key` makes one")
+                    wrong.append(
+                        f"{what}: {file}: each line wants a key of {least} to 64 bytes, in hex, and there"
+                        f" are at most {KEYS_MOST}; `burlloom distribution key` makes one"
+                    )
             except OSError as error:
                 wrong.append(f"{what}: {file}: {error.strerror}; `burlloom distribution key` makes one")
             except ValueError as error:
@@ -94,17 +104,31 @@
     def terms(self) -> "Terms":
         """What is not told follows the beat."""
         from ..distribution.terms import Terms
+
         plain, beat = Terms(), self.beat_ms * MS
         part = beat / plain.beat
-        return replace(plain, beat=beat, silence=int(plain.silence * part), knock=int(plain.knock * part),
-                       retry=int(plain.retry * part), prefer=int(plain.prefer * part), stale=int(plain.stale * part),
-                       stuck=int(plain.stuck * part), lease=int(plain.lease * part),
-                       followers_most=self.followers_most, page_rate=self.page_rate,
-                       page_burst=max(1, self.page_rate // 10))
+        return replace(
+            plain,
+            beat=beat,
+            silence=int(plain.silence * part),
+            knock=int(plain.knock * part),
+            retry=int(plain.retry * part),
+            prefer=int(plain.prefer * part),
+            stale=int(plain.stale * part),
+            stuck=int(plain.stuck * part),
+            lease=int(plain.lease * part),
+            followers_most=self.followers_most,
+            page_rate=self.page_rate,
+            page_burst=max(1, self.page_rate // 10),
+        )
 
     def followed(self) -> "list[Follows]":
         """Whom this one may follow."""
         from ..distribution.follower import Upstream as Follows
         from ..fleet.letters import address_of
-        return [Follows(one.name, one.region, address) for one in self.upstreams
-                if (address := address_of(one.address)) is not None]
+
+        return [
+            Follows(one.name, one.region, address)
+            for one in self.upstreams
+            if (address := address_of(one.address)) is not None
+        ]
--- a/burlloom/server/distributing.py
+++ b/burlloom/server/distributing.py
@@ -1,8 +1,7 @@
-"""Between the server and the configuration that is distributed to it: datagrams, the tenants in force, what is
-told of both.
+"""Between the server and the configuration that is distributed to it: datagrams, the tenants in force,
+what is told of both.
 
-Where distribution is off, `NoDistribution` stands here, and nothing of it is imported.
-"""
+Where distribution is off, `NoDistribution` stands here, and nothing of it is imported."""
 
 from __future__ import annotations
 
@@ -40,10 +39,13 @@
 
     def tenants(self, told: Mapping[str, float]) -> Collection[str]:
         """Those that are served, now and at any later time; `told`: by the server's own configuration."""
+
     def share(self, told: Mapping[str, float]) -> Callable[[str], float | None] | None:
         """A tenant's share of the service, None of one that is not served; None where `told` says all."""
+
     async def open(self) -> None:
         """Waits for what is to be in force, as long as the operator allows."""
+
     def close(self) -> None: ...
 
 
@@ -93,14 +95,15 @@
 def portion_of(value: bytes) -> float:
     """Of a tenant's entry; 1 where it says none that can be."""
     import msgpack
+
     got = msgpack.unpackb(value)
     portion = got.get("portion") if type(got) is dict else None
     return float(portion) if isinstance(portion, int | float) and 0 < portion <= PORTION_MOST else 1.0
 
 
 class Portions:
-    """What all tenants' portions come to: counted through the table some at a time, again some minutes after a
-    change. Until then each is taken for one."""
+    """What all tenants' portions come to: counted through the table some at a time, again some minutes
+    after a change. Until then each is taken for one."""
 
     def __init__(self, copy: Copy) -> None:
         self.copy = copy
@@ -122,8 +125,11 @@
         seen = 0
         for _ in range(PAGES_A_TICK):
             page = table.page(self.bucket, self.after, table.scopes or ("",), COUNT_BYTES)
-            self.sum += sum(portion_of(entry.value) for entry in page.entries
-                            if entry.kind == "tenant" and entry.value is not None)
+            self.sum += sum(
+                portion_of(entry.value)
+                for entry in page.entries
+                if entry.kind == "tenant" and entry.value is not None
+            )
             self.after = page.last
             if page.done:
                 self.bucket, self.after = self.bucket + 1, None
@@ -148,13 +154,21 @@
 class Distributed:
     """`sock`: bound, for datagrams. `leaving`: whether the server is on its way out."""
 
-    def __init__(self, part: DistributionPart, sock: socket.socket, name: str, seed: int, tasks: Tasks,
-            leaving: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        part: DistributionPart,
+        sock: socket.socket,
+        name: str,
+        seed: int,
+        tasks: Tasks,
+        leaving: Callable[[], bool],
+    ) -> None:
         from pathlib import Path
 
         from .. import distribution
         from ..distribution.endpoint import Endpoint
         from ..distribution.telling import Keys, Telling
+
         self.part, self.name, self.tasks, self.leaving, self.clock = part, name, tasks, leaving, since_start
         life = time.time_ns() // MS
         self.seals = Keys(Path(part.key_file), part.keys, "seals")
@@ -162,8 +176,16 @@
         scopes = ("", part.region)
         self.copy: Copy = distribution.Copy(distribution.Table(scopes), self.signing.keys)
         self.follower: Follower = distribution.Follower(
-            self.copy, name, life, part.region, part.followed(), self.seals.keys, part.terms(),
-            Random(seed ^ life), self.clock())
+            self.copy,
+            name,
+            life,
+            part.region,
+            part.followed(),
+            self.seals.keys,
+            part.terms(),
+            Random(seed ^ life),
+            self.clock(),
+        )
         self.endpoint = Endpoint(sock, self.hear)
         self.telling, self.portions = Telling(self.copy), Portions(self.copy)
         self.state = self.follower.state
@@ -185,17 +207,25 @@
 
     async def open(self) -> None:
         await self.endpoint.open()
-        log.info("event=distribution-open name=%s region=%s address=%s upstreams=%d", self.name, self.part.region,
-                 self.endpoint.address, len(self.part.upstreams))
+        log.info(
+            "event=distribution-open name=%s region=%s address=%s upstreams=%d",
+            self.name,
+            self.part.region,
+            self.endpoint.address,
+            len(self.part.upstreams),
+        )
         self.task = self.tasks.start(self.keep(), "distribution")
         began = self.clock()
-        while (self.copy.head is None and not self.leaving()
-               and self.clock() - began < self.part.wait_ms * MS):
+        while self.copy.head is None and not self.leaving() and self.clock() - began < self.part.wait_ms * MS:
             await rest(MOMENT)
         self.telling.look()
         if self.copy.head is None:
-            log.warning("event=distribution-not-in-force waited_ms=%d tenants=%d detail='the configuration file holds"
-                        " until a first sync'", (self.clock() - began) // MS, len(self.told))
+            log.warning(
+                "event=distribution-not-in-force waited_ms=%d tenants=%d detail='the configuration file holds"
+                " until a first sync'",
+                (self.clock() - began) // MS,
+                len(self.told),
+            )
 
     async def keep(self) -> None:
         while True:
@@ -211,8 +241,13 @@
         self.endpoint.flush(self.follower.out)
         self.telling.look()
         if self.follower.state != self.state:
-            log.info("event=distribution-state from=%s to=%s upstream=%s age_ms=%s", self.state.name.lower(),
-                     self.follower.state.name.lower(), self.follower.upstream.name, self.age(now))
+            log.info(
+                "event=distribution-state from=%s to=%s upstream=%s age_ms=%s",
+                self.state.name.lower(),
+                self.follower.state.name.lower(),
+                self.follower.upstream.name,
+                self.age(now),
+            )
             self.state = self.follower.state
         if self.counting:
             self.portions.step(now)
@@ -238,13 +273,21 @@
         self.endpoint.tell_refusals(now // SECOND, self.follower.refusals)
         if self.part.state_file is not None:
             from ..distribution.telling import write_state
+
             write_state(self.part.state_file, self.summary(now))
 
     def summary(self, now: int) -> dict[str, object]:
         from ..distribution.follower import summary
         from ..distribution.telling import held
-        return {"told_at": time.time_ns(), "role": "server", "region": self.part.region,
-                "address": self.endpoint.address, **summary(self.follower, now), **held(self.copy)}
+
+        return {
+            "told_at": time.time_ns(),
+            "role": "server",
+            "region": self.part.region,
+            "address": self.endpoint.address,
+            **summary(self.follower, now),
+            **held(self.copy),
+        }
 
     # For whoever reads metrics.
 
@@ -256,11 +299,16 @@
     def gauges(self) -> dict[str, float]:
         """The age is NaN where nothing is in force."""
         head, age = self.copy.head, self.follower.age(self.clock())
-        return {"state": float(self.follower.state), "in_force": float(head is not None),
-                "epoch": float(head.epoch) if head else 0.0, "revision": float(head.revision) if head else 0.0,
-                "age_seconds": age / 1000 if age is not None else float("nan"),
-                "tenants": float(self.copy.table.count("tenant")), "routes": float(self.copy.table.count("route")),
-                "settings": float(self.copy.table.count("setting"))}
+        return {
+            "state": float(self.follower.state),
+            "in_force": float(head is not None),
+            "epoch": float(head.epoch) if head else 0.0,
+            "revision": float(head.revision) if head else 0.0,
+            "age_seconds": age / 1000 if age is not None else float("nan"),
+            "tenants": float(self.copy.table.count("tenant")),
+            "routes": float(self.copy.table.count("route")),
+            "settings": float(self.copy.table.count("setting")),
+        }
 
     def close(self) -> None:
         if self.task is not None:
@@ -273,4 +321,7 @@
         self.endpoint.close()
         if self.exposed is not None:
             self.exposed.close()
-        log.info("event=distribution-closed %s", " ".join(f"{name}={count}" for name, count in self.counts().items()))
+        log.info(
+            "event=distribution-closed %s",
+            " ".join(f"{name}={count}" for name, count in self.counts().items()),
+        )
--- a/tests/distribution_rig.py
+++ b/tests/distribution_rig.py
@@ -1,9 +1,8 @@
-"""Control machines and servers as processes, with one relay between them, and a checker that reads what the store's
-tables say and what each server's log told.
+"""Control machines and servers as processes, with one relay between them, and a checker that reads what
+the store's tables say and what each server's log told.
 
-The checker shares no code with the program: what is to be in force is its own model of what was put, digests are its
-own, the chain's tags are read from the store's file by sqlite3.
-"""
+The checker shares no code with the program: what is to be in force is its own model of what was put,
+digests are its own, the chain's tags are read from the store's file by sqlite3."""
 
 import asyncio
 import json
@@ -68,10 +67,25 @@
         lives = self.log().count("event=distribution-control") if self.log_path.exists() else 0
         with open(self.log_path, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "burlloom.command", "distribution", "serve", "--name", self.name, "-o",
-                str(self.folder / "operator.jsonnet"), cwd=ROOT, stdout=log, stderr=log)
-        await patiently(lambda: self.log().count("event=distribution-control") > lives
-                        or self.process.returncode is not None, self.log)
+                sys.executable,
+                "-m",
+                "burlloom.command",
+                "distribution",
+                "serve",
+                "--name",
+                self.name,
+                "-o",
+                str(self.folder / "operator.jsonnet"),
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
+        await patiently(
+            lambda: (
+                self.log().count("event=distribution-control") > lives or self.process.returncode is not None
+            ),
+            self.log,
+        )
         assert self.process.returncode is None, self.log()
         address = re.findall(r"event=distribution-control .* address=(\S+)", self.log())[-1]
         self.world.relay.sent_from(self.name, address)
@@ -108,10 +122,14 @@
         folder.mkdir()
         self.world, self.region, self.more = world, region, more
         self.working: list[asyncio.Task[None]] = []
-        super().__init__(folder, name=name, catalogue=world.catalogue, n_cores=32, memory_kb=400000, stop_ms=2000)
+        super().__init__(
+            folder, name=name, catalogue=world.catalogue, n_cores=32, memory_kb=400000, stop_ms=2000
+        )
 
     async def start(self) -> "Node":
-        self.operator = {"distribution": {**self.world.part(self.name, self.region, self.folder), **self.more}}
+        self.operator = {
+            "distribution": {**self.world.part(self.name, self.region, self.folder), **self.more}
+        }
         await self.__aenter__()
         self.working.append(asyncio.create_task(self.work()))
         return self
@@ -120,9 +138,12 @@
         lives = self.log().count("event=distribution-open") if self.log_path.exists() else 0
 
         async def reached() -> None:
-            await until(lambda: self.log_path.exists() and self.log().count("event=distribution-open") > lives)
+            await until(
+                lambda: self.log_path.exists() and self.log().count("event=distribution-open") > lives
+            )
             address = re.findall(r"event=distribution-open .* address=(\S+)", self.log())[-1]
             self.world.relay.sent_from(self.name, address)
+
         await asyncio.gather(reached(), super().begin())
 
     async def work(self) -> None:
@@ -169,13 +190,29 @@
     def store_told(self) -> dict[str, Any]:
         if self.postgres is None:
             return {"sqlite": {"path": str(self.folder / "changes.db")}}
-        return {"postgres": {"address": self.postgres.address, "key_file": str(self.key), "connect_ms": 500, "hang_ms": 500}}
+        return {
+            "postgres": {
+                "address": self.postgres.address,
+                "key_file": str(self.key),
+                "connect_ms": 500,
+                "hang_ms": 500,
+            }
+        }
 
     def part(self, name: str, region: str, folder: Path) -> dict[str, Any]:
-        return {"listen": "127.0.0.1:0", "region": region, "key_file": str(self.key), "advertise": self.doors[name],
-                "signing_key_file": str(self.signing), "beat_ms": BEAT, "state_file": str(folder / "distribution"),
-                "upstreams": [{"name": one.name, "region": one.region, "address": self.doors[one.name]}
-                              for one in self.machines]}
+        return {
+            "listen": "127.0.0.1:0",
+            "region": region,
+            "key_file": str(self.key),
+            "advertise": self.doors[name],
+            "signing_key_file": str(self.signing),
+            "beat_ms": BEAT,
+            "state_file": str(folder / "distribution"),
+            "upstreams": [
+                {"name": one.name, "region": one.region, "address": self.doors[one.name]}
+                for one in self.machines
+            ],
+        }
 
     async def __aenter__(self) -> "World":
         await self.catalogue.start()
@@ -183,8 +220,13 @@
             await self.postgres.start()
         return self
 
-    async def control(self, count: int, regions: tuple[str, ...] = ("north",), store: bool = True) -> list[Machine]:
-        made = [Machine(self, f"c{len(self.machines) + at}", regions[at % len(regions)], store) for at in range(count)]
+    async def control(
+        self, count: int, regions: tuple[str, ...] = ("north",), store: bool = True
+    ) -> list[Machine]:
+        made = [
+            Machine(self, f"c{len(self.machines) + at}", regions[at % len(regions)], store)
+            for at in range(count)
+        ]
         for one in made:
             self.doors[one.name] = await self.relay.door(one.name)
         self.machines += made
@@ -192,7 +234,9 @@
         return made
 
     async def add(self, count: int, regions: tuple[str, ...] = ("north",), **more: Any) -> list[Node]:
-        made = [Node(self, f"n{len(self.nodes) + at}", regions[at % len(regions)], **more) for at in range(count)]
+        made = [
+            Node(self, f"n{len(self.nodes) + at}", regions[at % len(regions)], **more) for at in range(count)
+        ]
         for one in made:
             self.doors[one.name] = await self.relay.door(one.name)
         self.nodes += made
@@ -211,8 +255,9 @@
             await self.postgres.stop()
 
     async def command(self, machine: Machine | Node, *words: Any, status: int = 0) -> str:
-        return await asyncio.to_thread(burlloom, "distribution", *words, "-o", machine.folder / "operator.jsonnet",
-                                       status=status)
+        return await asyncio.to_thread(
+            burlloom, "distribution", *words, "-o", machine.folder / "operator.jsonnet", status=status
+        )
 
     async def put(self, *changes: dict[str, Any], by: int = 0, status: int = 0) -> str:
         """By the command, as an operator does; the model takes them too."""
@@ -240,7 +285,7 @@
             return db.execute(sql).fetchall()
 
     def head(self) -> tuple[int, int]:
-        (epoch, revision), = self.rows("SELECT epoch, revision FROM distribution_head")
+        ((epoch, revision),) = self.rows("SELECT epoch, revision FROM distribution_head")
         return epoch, revision
 
     def digest(self, region: str) -> str:
@@ -253,20 +298,30 @@
     def has_all(self, node: Node) -> bool:
         """Whether what it says to be in force is what was put, all of it."""
         state = node.state()
-        return (state.get("epoch"), state.get("revision")) == self.head() and state["digest"] == self.digest(node.region)
+        return (state.get("epoch"), state.get("revision")) == self.head() and state["digest"] == self.digest(
+            node.region
+        )
 
     async def reaches(self, *nodes: Node) -> None:
         """What was put is in force on these, or on all."""
         which = nodes or tuple(self.nodes)
-        await patiently(lambda: all(self.has_all(node) for node in which), lambda: (
-            self.head(), [(node.name, self.digest(node.region), node.state()) for node in which],
-            [machine.state() for machine in self.machines], [node.log()[-3000:] for node in which if not self.has_all(node)]))
+        await patiently(
+            lambda: all(self.has_all(node) for node in which),
+            lambda: (
+                self.head(),
+                [(node.name, self.digest(node.region), node.state()) for node in which],
+                [machine.state() for machine in self.machines],
+                [node.log()[-3000:] for node in which if not self.has_all(node)],
+            ),
+        )
 
     def in_order(self) -> None:
-        """Each server applied revisions one after the other, each with the store's own tag, from a sync on; and went
-        back in none."""
-        tags = {(epoch, revision): bytes(tag).hex() for epoch, revision, tag in self.rows(
-            "SELECT epoch, revision, tag FROM distribution_change")}
+        """Each server applied revisions one after the other, each with the store's own tag, from a sync
+        on; and went back in none."""
+        tags = {
+            (epoch, revision): bytes(tag).hex()
+            for epoch, revision, tag in self.rows("SELECT epoch, revision, tag FROM distribution_change")
+        }
         epoch_now, head = self.head()
         for node in self.nodes:
             at: tuple[int, int] | None = None
--- a/tests/test_distributing.py
+++ b/tests/test_distributing.py
@@ -1,5 +1,5 @@
-"""What the server and a control machine make of a copy, without processes: tenants in force, their shares, the store
-as it is followed."""
+"""What the server and a control machine make of a copy, without processes: tenants in force, their
+shares, the store as it is followed."""
 
 import asyncio
 import logging
@@ -53,21 +53,37 @@
             return True
         except Malformed:
             return False
+
     assert serves("acme") and not serves("blue") and not serves(7) and not serves(["acme"])
     held.begin(first_head(1, 0), [tenant("blue")])
-    assert serves("blue") and not serves("acme") and not serves(7) and not serves(["blue"]) and not serves("\ud800")
+    assert (
+        serves("blue")
+        and not serves("acme")
+        and not serves(7)
+        and not serves(["blue"])
+        and not serves("\ud800")
+    )
     assert held.take(change(held.head or first_head(1, 0), Entry("", "tenant", "blue", None))) is None
     assert not serves("blue"), "a table without any tenant serves none"
     assert not Tenants(Copy(Table(("",)), ()), {}), "a configuration without any serves all"
 
 
 def test_shares_follow_the_table() -> None:
-    held = copy(tenant("a", portion=3), tenant("b"), tenant("odd", portion="many"), Entry("", "route", "r", msgpack.packb({})))
+    held = copy(
+        tenant("a", portion=3),
+        tenant("b"),
+        tenant("odd", portion="many"),
+        Entry("", "route", "r", msgpack.packb({})),
+    )
     portions = Portions(held)
-    assert portions.share("a") == 1.0 and portions.share("b") == pytest.approx(1 / 3), "each for one, until counted"
+    assert portions.share("a") == 1.0 and portions.share("b") == pytest.approx(1 / 3), (
+        "each for one, until counted"
+    )
     for at in range(256):
         portions.step(at)
-    assert portions.whole == 5.0 and portions.share("a") == pytest.approx(0.6) and portions.share("none") is None
+    assert (
+        portions.whole == 5.0 and portions.share("a") == pytest.approx(0.6) and portions.share("none") is None
+    )
     assert held.take(change(held.head or first_head(1, 0), tenant("a", portion=8))) is None
     portions.step(1000)
     assert portions.bucket < 0, "again only some minutes later"
@@ -108,6 +124,7 @@
 
         async def put(*entries: Entry, key: bytes = SIGNING) -> None:
             assert await store.append(chained(await store.head(), "", encode(entries), 1, key))
+
         await put(tenant("a"))
         reading = Reading(store, held, lambda: Table(None), told)
         await reading.round()
@@ -165,6 +182,7 @@
             await reading.round()
         assert told.renewals == 2 and not held.table.has("tenant", "evil")
         await store.close()
+
     asyncio.run(play())
 
 
@@ -183,8 +201,12 @@
         held.settle(held.head._replace(revision=20))
         telling.look()
     lines = [line.getMessage().split(" tag=")[0] for line in caplog.records]
-    assert lines == ["event=distribution-synced epoch=7 revision=0", "event=distribution-applied epoch=7 from=1 to=3",
-                     "event=distribution-applied epoch=7 from=4 to=4", "event=distribution-synced epoch=7 revision=20"]
+    assert lines == [
+        "event=distribution-synced epoch=7 revision=0",
+        "event=distribution-applied epoch=7 from=1 to=3",
+        "event=distribution-applied epoch=7 from=4 to=4",
+        "event=distribution-synced epoch=7 revision=20",
+    ]
 
 
 def test_a_key_file_that_can_not_be_used_changes_nothing(tmp_path: Path) -> None:
@@ -192,8 +214,9 @@
     path.write_text("aa" * 16)
     keys = Keys(path, lambda: tuple(bytes.fromhex(line) for line in path.read_text().split()), "seals")
     assert not keys.changed()
-    for at, (text, changed, count) in enumerate((("bb" * 16 + "\n" + "aa" * 16, True, 2), ("no hex", False, 2), ("", False, 2),
-                                                 ("cc" * 16, True, 1))):
+    for at, (text, changed, count) in enumerate(
+        (("bb" * 16 + "\n" + "aa" * 16, True, 2), ("no hex", False, 2), ("", False, 2), ("cc" * 16, True, 1))
+    ):
         path.write_text(text)
 
         os.utime(path, (at, at))
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -1,8 +1,8 @@
-"""Changes of configuration go from control machines to real servers, while processes, the network and the store fail.
+"""Changes of configuration go from control machines to real servers, while processes, the network and the
+store fail.
 
-What is asserted at the end of each story: every server has in force exactly what was put, and applied it in the
-store's order (`World.in_order`, a checker outside of the program).
-"""
+What is asserted at the end of each story: every server has in force exactly what was put, and applied it
+in the store's order (`World.in_order`, a checker outside of the program)."""
 
 import asyncio
 import hashlib
@@ -20,14 +20,25 @@
 
 from burlloom.operator import Faults, load
 
-BASE = [tenant("acme"), tenant("blue", portion=2.5),
-        {"entries": [{"kind": "route", "key": "a/b", "value": {"to": "x"}}, {"kind": "setting", "key": "s", "value": {"n": 1}}]},
-        tenant("only-north", scope="north"), tenant("only-south", scope="south")]
-
-
-def world(control: int, servers: int, regions: tuple[str, ...] = ("north",), postgres: bool = False,
-          **more: Any) -> Callable[[Callable[[World], Awaitable[None]]], Callable[[Path], None]]:
+BASE = [
+    tenant("acme"),
+    tenant("blue", portion=2.5),
+    {
+        "entries": [
+            {"kind": "route", "key": "a/b", "value": {"to": "x"}},
+            {"kind": "setting", "key": "s", "value": {"n": 1}},
+        ]
+    },
+    tenant("only-north", scope="north"),
+    tenant("only-south", scope="south"),
+]
+
+
+def world(
+    control: int, servers: int, regions: tuple[str, ...] = ("north",), postgres: bool = False, **more: Any
+) -> Callable[[Callable[[World], Awaitable[None]]], Callable[[Path], None]]:
     """Makes a test of a story told with so many, all of which have what was put first."""
+
     def wrap(story: Callable[[World], Awaitable[None]]) -> Callable[[Path], None]:
         def test(tmp_path: Path) -> None:
             async def play() -> None:
@@ -39,9 +50,12 @@
                     await story(made)
                     await made.reaches()
                     made.in_order()
+
             asyncio.run(play())
+
         test.__name__, test.__doc__ = story.__name__, story.__doc__
         return test
+
     return wrap
 
 
@@ -51,7 +65,8 @@
 
 @world(2, 4, regions=("north", "south"))
 async def test_a_change_reaches_all(made: World) -> None:
-    """A tenant that is added is served without a restart, one that is removed is refused; a region's own only there."""
+    """A tenant that is added is served without a restart, one that is removed is refused; a region's own
+    only there."""
     north, south = made.nodes[0], made.nodes[1]
     assert await north.serves("acme") and not await north.serves("new") and await north.serves("only-north")
     assert not await south.serves("only-north") and await south.serves("only-south")
@@ -62,17 +77,26 @@
     await made.reaches()
     assert not any([await node.serves("acme") for node in made.nodes])
     # Control machines of the own region are followed.
-    await patiently(lambda: follows(made) == {"n0": "c0", "n1": "c1", "n2": "c0", "n3": "c1"}, lambda: follows(made))
+    await patiently(
+        lambda: follows(made) == {"n0": "c0", "n1": "c1", "n2": "c0", "n3": "c1"}, lambda: follows(made)
+    )
 
     said = await made.command(north, "show")
-    assert "n0 (server, north): epoch" in said and "current, surely the newest" in said and "follows c0" in said
+    assert (
+        "n0 (server, north): epoch" in said and "current, surely the newest" in said and "follows c0" in said
+    )
     await patiently(lambda: made.machines[0].state()["behind"] == 0)
     said = await made.command(made.machines[0], "show")
     assert "c0 (control, north): epoch" in said and "2 of at most 400 follow, 0 of them behind" in said, said
-    assert json.loads(await made.command(made.machines[0], "show", "--json"))["lowest_revision"] == made.head()[1]
+    assert (
+        json.loads(await made.command(made.machines[0], "show", "--json"))["lowest_revision"]
+        == made.head()[1]
+    )
     # A server asks whom it follows, a control machine its store. Who asks has no door in the relay.
     path = north.folder / "operator.jsonnet"
-    path.write_text(path.read_text().replace(made.doors["c0"], "%s:%d" % (made.relay.doors["c0"].target or ("", 0))))
+    path.write_text(
+        path.read_text().replace(made.doors["c0"], "%s:%d" % (made.relay.doors["c0"].target or ("", 0)))
+    )
     for asked in (north, made.machines[0]):
         said = await made.command(asked, "explain", "tenant", "blue")
         assert 'tenant blue: {"portion": 9}, of north' in said and "in force" in said.splitlines()[1], said
@@ -83,13 +107,30 @@
 @world(1, 1)
 async def test_a_bad_file_is_refused_whole(made: World) -> None:
     before = made.head()
-    said = await made.put(tenant("good"), {"scope": 3, "entries": [{"kind": "tenant", "key": "x", "value": [1]}]},
-                          {"entries": [{"kind": "nothing", "key": "", "value": {}}, {"kind": "tenant", "key": "p", "value": {"portion": -1}}]},
-                          {"entries": [{"kind": "tenant", "key": "q", "value": {"portion": "many"}}], "more": 1},
-                          {"entries": [{"kind": "setting", "key": "s", "value": {"long": "x" * 600}}]}, {"entries": []}, status=2)
-    for part in ("line 2: scope: no text", "line 2: entries[0].value: no object", "line 3: entries[0].kind:",
-                 "line 3: entries[0].key:", "line 4: more: unknown key", "line 5: entries[0].value: ", "line 6: entries: 0, of 1",
-                 "nothing was taken"):
+    said = await made.put(
+        tenant("good"),
+        {"scope": 3, "entries": [{"kind": "tenant", "key": "x", "value": [1]}]},
+        {
+            "entries": [
+                {"kind": "nothing", "key": "", "value": {}},
+                {"kind": "tenant", "key": "p", "value": {"portion": -1}},
+            ]
+        },
+        {"entries": [{"kind": "tenant", "key": "q", "value": {"portion": "many"}}], "more": 1},
+        {"entries": [{"kind": "setting", "key": "s", "value": {"long": "x" * 600}}]},
+        {"entries": []},
+        status=2,
+    )
+    for part in (
+        "line 2: scope: no text",
+        "line 2: entries[0].value: no object",
+        "line 3: entries[0].kind:",
+        "line 3: entries[0].key:",
+        "line 4: more: unknown key",
+        "line 5: entries[0].value: ",
+        "line 6: entries: 0, of 1",
+        "nothing was taken",
+    ):
         assert part in said, (part, said)
     said = await made.put({"entries": [{"kind": "tenant", "key": "p", "value": {"portion": -1}}]}, status=2)
     assert "line 1: entries[0].value.portion: -1 is no number over 0" in said
@@ -100,7 +141,7 @@
 async def test_a_server_waits_for_its_first_sync_and_then_says_so(made: World) -> None:
     """Cut off from the start, it serves its configuration's tenants; healed, those of the table."""
     made.relay.cut({"n0"}, {"c0"})
-    node, = await made.add(1, wait_ms=300)
+    (node,) = await made.add(1, wait_ms=300)
     assert "event=distribution-not-in-force" in node.log() and "tenants=1" in node.log()
     assert await node.serves("acme") and not await node.serves("blue")
     await patiently(lambda: node.state().get("state") == "alone")
@@ -161,14 +202,18 @@
         await made.put(tenant(f"cut-{both}"), tenant("south-too", scope="south", at=both))
         await made.put(tenant("more", both=both))
         await made.reaches(*(node for node in made.nodes if node not in cut))
-        await patiently(lambda: all(node.state()["state"] == "alone" and node.state()["age_ms"] > 2000 for node in cut),
-                        lambda: [node.state() for node in cut])
+        await patiently(
+            lambda: all(node.state()["state"] == "alone" and node.state()["age_ms"] > 2000 for node in cut),
+            lambda: [node.state() for node in cut],
+        )
         assert all(node.state()["revision"] == before for node in cut)
         assert await cut[0].serves("acme") and not await cut[0].serves(f"cut-{both}")
         made.relay.heal()
         await made.reaches()
-        await patiently(lambda: all(node.state()["state"] == "current" and node.state()["age_ms"] < 2000 for node in cut),
-                        lambda: [node.state() for node in cut])
+        await patiently(
+            lambda: all(node.state()["state"] == "current" and node.state()["age_ms"] < 2000 for node in cut),
+            lambda: [node.state() for node in cut],
+        )
         assert await cut[0].serves(f"cut-{both}") and await cut[0].serves("south-too")
     assert all(node.log().count("event=distribution-synced") == 1 for node in cut)
 
@@ -181,8 +226,10 @@
     await made.postgres.stop()
     await patiently(lambda: all(one.state()["store_away"] for one in made.machines))
     await patiently(lambda: all(one.state()["follows"] is not None for one in made.machines))
-    await patiently(lambda: all(node.state()["age_ms"] > 3000 for node in made.nodes), lambda: [
-        node.state() for node in made.nodes])
+    await patiently(
+        lambda: all(node.state()["age_ms"] > 3000 for node in made.nodes),
+        lambda: [node.state() for node in made.nodes],
+    )
     assert all([await node.serves("acme") for node in made.nodes])
     putting = asyncio.create_task(made.put(tenant("late")))  # tries for a while
     await asyncio.sleep(0.5)
@@ -190,7 +237,9 @@
     await made.postgres.start(address)
     assert "1 changes taken" in await putting
     await made.reaches()
-    await patiently(lambda: all(one.state()["follows"] is None and not one.state()["store_away"] for one in made.machines))
+    await patiently(
+        lambda: all(one.state()["follows"] is None and not one.state()["store_away"] for one in made.machines)
+    )
     await patiently(lambda: all(node.state()["age_ms"] < 2000 for node in made.nodes))
     made.postgres.orders.reset_after_commit = 1  # taken, and nobody is told
     revision = made.head()[1]
@@ -221,7 +270,10 @@
 async def test_letters_lost_late_doubled_and_played_again(made: World) -> None:
     made.relay.loss, made.relay.doubles, made.relay.delay = 0.05, 0.2, (0.0, 0.03)
     for n in range(4):
-        await made.put(*(tenant(f"t{n}-{at}", n=n) for at in range(20)), *(without(f"t{n - 1}-{at}") for at in range(10) if n))
+        await made.put(
+            *(tenant(f"t{n}-{at}", n=n) for at in range(20)),
+            *(without(f"t{n - 1}-{at}") for at in range(10) if n),
+        )
     await made.reaches()
     made.relay.loss = made.relay.doubles = 0.0
     made.relay.again()
@@ -237,15 +289,18 @@
 
 @world(1, 2, wait_ms=500)
 async def test_foreign_keys_are_refused_and_counted(made: World) -> None:
-    """A server with another key is not told anything; a change that is chained with another is not believed."""
+    """A server with another key is not told anything; a change that is chained with another is not
+    believed."""
     right = made.key
     made.key = made.folder / "other"
     made.key.write_text("aa" * 32 + "\n")
-    stranger, = await made.add(1, wait_ms=500)
+    (stranger,) = await made.add(1, wait_ms=500)
     made.key = right
     reason = "not sealed with our key"
     await patiently(lambda: made.machines[0].state()["counts"]["refused"].get(reason, 0) > 2)
-    assert "event=distribution-not-in-force" in stranger.log() and f"reason='{reason}'" in made.machines[0].log()
+    assert (
+        "event=distribution-not-in-force" in stranger.log() and f"reason='{reason}'" in made.machines[0].log()
+    )
     assert "n2" not in made.machines[0].log() and stranger.state()["revision"] is None
     await patiently(lambda: stranger.state()["state"] == "alone", stranger.state)
     assert f": {reason}" in await made.command(made.machines[0], "show")
@@ -254,12 +309,14 @@
         task.cancel()
     await stranger.__aexit__(None)
 
-    # Sealed with the right key, but chained with another: by the letter of the protocol, without the program's code.
+    # Sealed with the right key, but chained with another: by the protocol's letter, without the program's
+    # code.
     import msgpack
+
     node = made.nodes[0]
     epoch, revision = made.head()
     body = msgpack.packb([["tenant", "evil", msgpack.packb({})]])
-    (before,), = made.rows(f"SELECT tag FROM distribution_change WHERE revision = {revision}")
+    ((before,),) = made.rows(f"SELECT tag FROM distribution_change WHERE revision = {revision}")
     digest = hashlib.blake2b(body, digest_size=16).digest()
     time_ms = 4_000_000_000_000
     chained = bytes(before) + b"%d %d %d " % (epoch, revision + 1, time_ms) + digest
@@ -271,8 +328,10 @@
             break  # whoever has both keys is one of us: it is not sent
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             sender.sendto(letter, made.relay.doors[node.name].target or ("", 0))
-        await patiently(lambda: node.state()["counts"]["refused"].get("its tag does not follow", 0) == 1,
-                        lambda: node.state())
+        await patiently(
+            lambda: node.state()["counts"]["refused"].get("its tag does not follow", 0) == 1,
+            lambda: node.state(),
+        )
     assert not await node.serves("evil") and node.state()["revision"] == revision
 
 
@@ -281,8 +340,14 @@
     new = "bb" * 32
     for keys in ((KEY, new), (new, KEY), (new,)):
         made.key.write_text("\n".join(keys) + "\n")
-        await patiently(lambda: all(f"event=distribution-keys what=seals count={len(keys)}" in one.log()
-                                    or len(keys) == 2 and keys[0] == new for one in (*made.nodes, *made.machines)))
+        await patiently(
+            lambda: all(
+                f"event=distribution-keys what=seals count={len(keys)}" in one.log()
+                or len(keys) == 2
+                and keys[0] == new
+                for one in (*made.nodes, *made.machines)
+            )
+        )
         if keys[0] == new and len(keys) == 2:
             await asyncio.sleep(1.2)  # read each second, and the order alone is not told
         await made.put(tenant(f"{len(keys)}-{keys[0][:2]}"))
@@ -291,7 +356,8 @@
 
 @world(2, 2)
 async def test_a_store_that_is_put_back_begins_an_epoch(made: World) -> None:
-    """Revisions that were given before are not believed a second time: all sync anew, and what was lost is gone."""
+    """Revisions that were given before are not believed a second time: all sync anew, and what was lost
+    is gone."""
     await made.put(tenant("kept"))
     await made.reaches()
     model = dict(made.model)
@@ -318,32 +384,68 @@
 
 def test_keys_are_made(tmp_path: Path) -> None:
     path = tmp_path / "key"
-    assert "1 keys" in burlloom("distribution", "key", path) and "2 keys" in burlloom("distribution", "key", path)
+    assert "1 keys" in burlloom("distribution", "key", path) and "2 keys" in burlloom(
+        "distribution", "key", path
+    )
     assert path.stat().st_mode & 0o777 == 0o600
 
 
-@pytest.mark.parametrize("told, said", [
-    ({"listen": "here:1"}, ["distribution.listen: "]), ({"region": "a b"}, ["distribution.region: "]),
-    ({"upstream": []}, ["distribution.upstream: unknown key"]), ({"beat_ms": 1}, ["distribution.beat_ms: "]),
-    ({"listen": "127.0.0.1:70000", "advertise": "1.1.1.1:0", "key_file": "none", "signing_key_file": "short",
-      "state_file": "/none/state", "upstreams": [
-          {"name": "a", "region": "r", "address": "10.0.0.1:1"}, {"name": "a", "region": "r", "address": "10.0.0.1:1"},
-          {"name": "b", "region": "r", "address": "10.0.0.300:1"}]},
-     ["distribution.listen: '127.0.0.1:70000' is no IPv4", "distribution.advertise: '1.1.1.1:0'",
-      "distribution.upstreams[1].name: a stands twice, also in upstreams[0]", "distribution.upstreams[1].address: 10.0.0.1:1",
-      "distribution.upstreams[2].address: '10.0.0.300:1'", "distribution.key_file: none: No such file",
-      "distribution.signing_key_file: ", "distribution.state_file: the folder /none does not exist"]),
-    ({"store": {}}, ["distribution.store: one store is wanted"]),
-])
+@pytest.mark.parametrize(
+    "told, said",
+    [
+        ({"listen": "here:1"}, ["distribution.listen: "]),
+        ({"region": "a b"}, ["distribution.region: "]),
+        ({"upstream": []}, ["distribution.upstream: unknown key"]),
+        ({"beat_ms": 1}, ["distribution.beat_ms: "]),
+        (
+            {
+                "listen": "127.0.0.1:70000",
+                "advertise": "1.1.1.1:0",
+                "key_file": "none",
+                "signing_key_file": "short",
+                "state_file": "/none/state",
+                "upstreams": [
+                    {"name": "a", "region": "r", "address": "10.0.0.1:1"},
+                    {"name": "a", "region": "r", "address": "10.0.0.1:1"},
+                    {"name": "b", "region": "r", "address": "10.0.0.300:1"},
+                ],
+            },
+            [
+                "distribution.listen: '127.0.0.1:70000' is no IPv4",
+                "distribution.advertise: '1.1.1.1:0'",
+                "distribution.upstreams[1].name: a stands twice, also in upstreams[0]",
+                "distribution.upstreams[1].address: 10.0.0.1:1",
+                "distribution.upstreams[2].address: '10.0.0.300:1'",
+                "distribution.key_file: none: No such file",
+                "distribution.signing_key_file: ",
+                "distribution.state_file: the folder /none does not exist",
+            ],
+        ),
+        ({"store": {}}, ["distribution.store: one store is wanted"]),
+    ],
+)
 def test_files_that_can_not_be(tmp_path: Path, told: dict[str, Any], said: list[str]) -> None:
     """All faults at once, each with its place."""
     for name, key in (("key", KEY), ("signing", SIGNING), ("short", "aa")):
         (tmp_path / name).write_text(key)
     path = tmp_path / "operator.jsonnet"
-    told = {**told, **({"signing_key_file": str(tmp_path / "short")} if told.get("signing_key_file") == "short" else {})}
-    path.write_text(json.dumps({"distribution": {
-        "listen": "127.0.0.1:7950", "region": "north", "key_file": str(tmp_path / "key"),
-        "signing_key_file": str(tmp_path / "signing"), **told}}))
+    told = {
+        **told,
+        **({"signing_key_file": str(tmp_path / "short")} if told.get("signing_key_file") == "short" else {}),
+    }
+    path.write_text(
+        json.dumps(
+            {
+                "distribution": {
+                    "listen": "127.0.0.1:7950",
+                    "region": "north",
+                    "key_file": str(tmp_path / "key"),
+                    "signing_key_file": str(tmp_path / "signing"),
+                    **told,
+                }
+            }
+        )
+    )
     with pytest.raises(Faults) as refused:
         load(path)
     for part in said:
--- a/tests/test_distribution_stores.py
+++ b/tests/test_distribution_stores.py
@@ -63,8 +63,11 @@
     three = await append(second, ("tenant", "c", value(portion=2.5)), scope="north")
     assert await first.since(0, 2) == [one, two] and await second.since(1, 9) == [two, three]
     assert break_of(head_of(one), two, (SIGNING,)) == break_of(head_of(two), three, (SIGNING,)) == ""
-    assert await all_of(first, 1) == {("", "route", "é"): (value(to="x"), 2), ("", "tenant", "c"): (value(), 2),
-                                      ("north", "tenant", "c"): (value(portion=2.5), 3)}
+    assert await all_of(first, 1) == {
+        ("", "route", "é"): (value(to="x"), 2),
+        ("", "tenant", "c"): (value(), 2),
+        ("north", "tenant", "c"): (value(portion=2.5), 3),
+    }
     stored = await first.entry("north", "tenant", "c")
     assert stored is not None and (stored.epoch, stored.revision) == (head.epoch, 3)
     assert await first.entry("", "tenant", "a") is None
@@ -74,6 +77,7 @@
         while left:
             made = change(await store.head(), ("setting", f"{name}{left}", value()))
             left -= await store.append(made)
+
     await asyncio.gather(writes(first, "x", 10), writes(second, "y", 10))
     log = await first.since(3, 100)
     assert [one.revision for one in log] == list(range(4, 24))
@@ -103,14 +107,19 @@
         for one in page:
             found[one.entry[:3]], after = one.entry.value, one.entry[:3]
         n = next(names)  # behind, ahead of and at the place that was read
-        await append(writer, ("tenant", f"t{n:02}", None), ("tenant", f"t{59 - n:02}", value(again=n)),
-                     ("tenant", f"t{n:02}x", value()))
+        await append(
+            writer,
+            ("tenant", f"t{n:02}", None),
+            ("tenant", f"t{59 - n:02}", value(again=n)),
+            ("tenant", f"t{n:02}x", value()),
+        )
     for made in await reader.since(head.revision, 1000):
         assert made.body is not None
         for kind, key, told in msgpack.unpackb(made.body):
             found[made.scope, kind, key] = told
     assert {place: told for place, told in found.items() if told is not None} == {
-        place: told for place, (told, _) in (await all_of(writer, 100)).items()}
+        place: told for place, (told, _) in (await all_of(writer, 100)).items()
+    }
 
 
 def test_in_a_file(tmp_path: Path) -> None:
@@ -130,6 +139,7 @@
         assert head.epoch > before.epoch and head.revision == 0 and await all_of(first, 10) == {}
         await first.close()
         await second.close()
+
     asyncio.run(play())
 
 
@@ -151,6 +161,7 @@
         assert head.epoch > before.epoch and head.revision == 0 and await store.since(0, 9) == []
         assert list(await all_of(store, 9)) == [("", "tenant", "kept")]
         await store.close()
+
     asyncio.run(play())
 
 
@@ -160,14 +171,19 @@
         await store.open()
         with sqlite3.connect(tmp_path / "changes.db") as db:  # as if so many had been written
             db.execute("UPDATE distribution_head SET revision = ?", (LOG_MOST + 8,))
-            db.executemany("INSERT INTO distribution_change (revision, epoch, time_ms, scope, body, tag)"
-                           " VALUES (?, 1, 1, x'', x'90', x'')", [(n + 1,) for n in range(LOG_MOST + 8)])
+            db.executemany(
+                "INSERT INTO distribution_change (revision, epoch, time_ms, scope, body, tag)"
+                " VALUES (?, 1, 1, x'', x'90', x'')",
+                [(n + 1,) for n in range(LOG_MOST + 8)],
+            )
         last = await append(store, ("tenant", "a", value()))
         with sqlite3.connect(tmp_path / "changes.db") as db:
-            assert db.execute("SELECT count(*), min(revision), max(revision) FROM distribution_change").fetchone() == (
-                LOG_MOST, last.revision - LOG_MOST + 1, last.revision)
+            assert db.execute(
+                "SELECT count(*), min(revision), max(revision) FROM distribution_change"
+            ).fetchone() == (LOG_MOST, last.revision - LOG_MOST + 1, last.revision)
         assert (await store.since(1, 1))[0].revision == last.revision - LOG_MOST + 1
         await store.close()
+
     asyncio.run(play())
 
 
@@ -190,6 +206,7 @@
         other.close()
         assert (await store.head()).revision == 0 and await store.append(made)
         await store.close()
+
     asyncio.run(play())
 
 
@@ -199,7 +216,9 @@
         key = tmp_path / "key"
         key.write_text(KEY)
         key.chmod(0o600)
-        told = Place(postgres=Database(address=server.address, key_file=str(key), hang_ms=300, connect_ms=500))
+        told = Place(
+            postgres=Database(address=server.address, key_file=str(key), hang_ms=300, connect_ms=500)
+        )
         first, second = (Postgres(store_of(told, "-", keep=0)[0]) for _ in range(2))  # type: ignore[arg-type]
         await promises(first, second)
         await replayed(first, second)
@@ -221,4 +240,5 @@
         await first.close()
         await second.close()
         await server.stop()
+
     asyncio.run(play())
