--- a/burlloom/distribution/changes.py
+++ b/burlloom/distribution/changes.py
@@ -18,6 +18,8 @@
 
 import msgpack
 
+from .table import Entry as Entry  # given on to whoever speaks of changes
+
 KINDS = ("tenant", "route", "setting")
 KEY_MOST = 128  # bytes of UTF-8
 SCOPE_MOST = 64  # bytes of UTF-8: a region's name
@@ -28,15 +30,6 @@
 FAULTS_MOST = 100  # that are told of one change
 
 
-class Entry(NamedTuple):
-    """`scope`: "" holds everywhere, else a region's name. `value`: MessagePack of a map; None deletes."""
-
-    scope: str
-    kind: str
-    key: str
-    value: bytes | None
-
-
 class Change(NamedTuple):
     """`time_ms`: Unix ms at the origin, never less than of the change before. `body`: MessagePack of a list of
     [kind, key, value or nil]; None where it was left out for who does not hold the scope. `body_digest`:
