--- /dev/null
+++ b/benchmarks/scale_members.py
@@ -0,0 +1,111 @@
+"""What a member of a fleet costs on sockets, by how many servers the fleet has: hollow ones, in hosts of some 150, with the one
+that deals and one other alone in a process each, so that /proc tells what they cost.
+
+    python benchmarks/scale_members.py --sizes 30,100,200,300,450,600 [--keep]
+"""
+
+import asyncio
+import shlex
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import click
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from hollow_hosts import KEY, Hosts, clock, spread, usage  # noqa: E402
+
+from burlloom.lab.distances import laid_out  # noqa: E402
+from burlloom.lab.slopes import Row, exponent_word, fit, keep  # noqa: E402
+
+LAG_MOST = 200.0  # ms, what an answer to a probe may take; a host's loop that was later was starved, and the run counts for nothing
+SHARE = 4.0  # calls a server
+
+
+def terms(size: int) -> dict[str, Any]:
+    """The defaults of the operator's file."""
+    return {"total": int(SHARE * 1000 * size), "least": size // 2 + 1}
+
+
+async def measured(size: int, seconds: float, settle: float, seed: int) -> dict[str, Any]:
+    places = laid_out(size)
+    groups = [[places[0]], [places[1]], *spread(places[2:], max(1, -(-(size - 2) // 150)))]
+    with tempfile.TemporaryDirectory() as folder:
+        cores = {"fleet": {"key": KEY, "terms": terms(size), "seeds": []}}
+        async with Hosts(Path(folder), groups, seed, cores) as hosts:
+            seeds = [hosts.address(name, "fleet") for name in ("h0", "h1", "h2")]
+            hosts.tell("places", places=hosts.places(), cores={"fleet": {"seeds": seeds}})
+            began = clock()
+            hosts.tell_names("start", ["h0"])
+            await asyncio.sleep(0.5)
+            hosts.tell("start")  # h0 has lived longest: it deals
+            agreed = float("nan")
+            until = began + int(settle * 1e9)
+            while clock() < until:
+                await asyncio.sleep(0.25)
+                if agreed != agreed and hosts.up() == size and hosts.views() == 1:
+                    agreed = (clock() - began) / 1e9
+            at = clock()
+            first = {host.name: usage(host.process.pid) for host in hosts.hosts if host.process}
+            costs = await hosts.costs()
+            await asyncio.sleep(seconds)
+            span = (clock() - at) / 1e9
+            last = {host.name: usage(host.process.pid) for host in hosts.hosts if host.process}
+            after = await hosts.costs()
+            facts, lag, views = hosts.facts(), hosts.lag(at), hosts.views()
+            faults = [fault for host in hosts.hosts for fault in host.faults]
+    cpu = {name: (last[name][0] - first[name][0]) / span * 1000 for name in first}
+    own = {name: [(now - then) / span for now, then in zip(after[name], costs[name], strict=True)] for name in costs}
+    plain = [told for name, told in own.items() if name != "h0/fleet"]
+    mean = [sum(column) / len(plain) for column in zip(*plain, strict=True)]
+    many = sum(value for name, value in cpu.items() if name not in ("host0", "host1")) / (size - 2)
+    return {"size": size, "agreed": agreed, "views": views, "lag": lag, "faults": faults, "share": facts.get("share", 0) / 1000 / size,
+            "holding": facts.get("holder holding", 0), "dropped": facts.get("dropped", 0),
+            "dealer_cpu": cpu["host0"], "one_cpu": cpu["host1"], "member_cpu": many, "member_core": mean[0] / 1e6,
+            "dealer_core": own["h0/fleet"][0] / 1e6, "member_out": mean[2], "member_in": mean[4], "member_outs": mean[1],
+            "dealer_out": own["h0/fleet"][2], "dealer_in": own["h0/fleet"][4],
+            "dealer_kb": last["host0"][1] / 1024, "counted": lag <= LAG_MOST}
+
+
+@click.command()
+@click.option("--sizes", default="30,100,200,300,450,600", show_default=True)
+@click.option("--seconds", default=15.0, show_default=True, help="for which costs are taken")
+@click.option("--settle", default=20.0, show_default=True, help="until then")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--keep", "kept", is_flag=True, help="append the slopes to the kept ones")
+def members(sizes: str, seconds: float, settle: float, seed: int, kept: bool) -> None:
+    """What a member costs on sockets, by how many servers there are."""
+    print("| servers | all agree after, s | views at the end | who holds a share | mean share, calls | a member, ms/s | of it the core | "
+          "alone in a process | who deals, ms/s | of it the core | a member sends, B/s | gets, B/s | who deals sends | gets | its memory, MB | "
+          "lag of loops, ms |")
+    print("|" + " --- |" * 16)
+    found = []
+    for size in map(int, sizes.split(",")):
+        got = asyncio.run(measured(size, seconds, settle, seed))
+        found.append(got)
+        print(f"| {size} | {got['agreed']:.1f} | {got['views']} | {got['holding']:.0f} | {got['share']:.2f} | {got['member_cpu']:.2f} | "
+              f"{got['member_core']:.2f} | {got['one_cpu']:.1f} | {got['dealer_cpu']:.1f} | {got['dealer_core']:.1f} | {got['member_out']:.0f} | "
+              f"{got['member_in']:.0f} | {got['dealer_out']:.0f} | {got['dealer_in']:.0f} | {got['dealer_kb'] / 1024:.0f} | {got['lag']:.0f}"
+              f"{'' if got['counted'] else ' TOO BUSY, counts for nothing'} |", flush=True)
+        for fault in got["faults"][:3]:
+            print(f"fault: {fault}")
+    good = [got for got in found if got["counted"]]
+    command = "python benchmarks/scale_members.py --sizes " + shlex.quote(sizes)
+    for name, key, unit in (("hollow member cpu", "member_cpu", "ms/s"), ("hollow member core cpu", "member_core", "ms/s"),
+                            ("hollow dealer cpu", "dealer_cpu", "ms/s"), ("hollow member bytes out", "member_out", "B/s"),
+                            ("hollow dealer bytes out", "dealer_out", "B/s")):
+        told = tuple(float(got["size"]) for got in good), tuple(float(got[key]) for got in good)
+        try:
+            print(f"{name}: {exponent_word(fit(*told))}")
+        except ValueError as error:
+            print(f"{name}: no slope, {error}")
+            continue
+        if kept:
+            keep(Row(name, "servers", unit, "rest", *told, command, f"loopback sockets, hollow servers, {seconds:g} s each, defaults of the "
+                     "operator's file"))
+
+
+if __name__ == "__main__":
+    members()
