--- a/benchmarks/hollow_hosts.py
+++ b/benchmarks/hollow_hosts.py
@@ -41,6 +41,7 @@
     name: str
     servers: Sequence[Place]
     record: Path
+    main: Sequence[str] = ("-m", "burlloom.lab.hollow")
     process: asyncio.subprocess.Process | None = None
     addresses: dict[str, dict[str, str]] = field(default_factory=dict)
     seconds: list[dict[str, Any]] = field(default_factory=list)
@@ -49,7 +50,7 @@
 
     async def open(self, seed: int, cores: dict[str, Any]) -> None:
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "burlloom.lab.hollow", cwd=ROOT, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+            sys.executable, *self.main, cwd=ROOT, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
             limit=1 << 26)
         self.order("begin", seed=seed, cores=cores, servers=[row(one) for one in self.servers], record=str(self.record))
         assert self.process.stdout is not None
@@ -96,11 +97,12 @@
 
 
 class Hosts:
-    """All of them. `groups`: the servers of each, one list a process."""
+    """All of them. `groups`: the servers of each, one list a process. `main`: what Python is to run."""
 
-    def __init__(self, folder: Path, groups: Sequence[Sequence[Place]], seed: int, cores: dict[str, Any]) -> None:
+    def __init__(self, folder: Path, groups: Sequence[Sequence[Place]], seed: int, cores: dict[str, Any],
+                 main: Sequence[str] = ("-m", "burlloom.lab.hollow")) -> None:
         self.seed, self.cores = seed, cores
-        self.hosts = [Host(f"host{at}", group, folder / f"host{at}.jsonl") for at, group in enumerate(groups)]
+        self.hosts = [Host(f"host{at}", group, folder / f"host{at}.jsonl", main) for at, group in enumerate(groups)]
         self.by_name = {place.name: (host, place) for host in self.hosts for place in host.servers}
         self.extra: list[list[Any]] = []  # addresses of those in no host, where they are reached
 
--- a/burlloom/lab/hollow.py
+++ b/burlloom/lab/hollow.py
@@ -44,6 +44,8 @@
     def tick(self, now: int) -> None: ...
     def hear(self, now: int, data: bytes, source: str) -> None: ...
     def leave(self, now: int) -> None: ...
+    def woke(self, now: int) -> None:
+        """It stood still, and hears what waited for it next."""
     def facts(self, now: int) -> dict[str, Any]:
         """Of this second, added up over a host: numbers by name."""
     def events(self, now: int) -> Iterable[list[Any]]:
@@ -73,13 +75,17 @@
     def after(self, now: int) -> None:
         fleet = self.fleet
         fleet.moves = []
-        if fleet.share != self.share:
-            self.share = fleet.share
+        share = fleet.share if fleet.good(now) else 0  # as the server asks before each call
+        if share != self.share:
+            self.share = share
             self.told.append([now, "share", self.share])
 
     def leave(self, now: int) -> None:
         self.fleet.leave(now)
 
+    def woke(self, now: int) -> None:
+        self.share = -1  # told anew, since its calls may have been counted as over
+
     def facts(self, now: int) -> dict[str, Any]:
         fleet = self.fleet
         return {"share": fleet.share, f"holder {fleet.holder.state.name.lower()}": 1, "there": len(fleet.members.there()),
@@ -202,6 +208,7 @@
             return
         self.stands_until = 0.0
         self.host.note(self, "wakes", 0)
+        core.woke(self.host.now())
         stuck, self.stuck = self.stuck, []
         for data, source in stuck:
             self.hears(data, source)
@@ -383,10 +390,15 @@
     if host.file is not None:
         host.report()
         host.file.close()
+        host.file = None
 
 
-if __name__ == "__main__":
+def run() -> None:
     signal.alarm(LIVES_MOST)  # ends it by itself, also where nobody is left to say so
     uvloop.run(main())
     sys.stdout.flush()
     os._exit(0)  # the reading thread may be in the middle of a line
+
+
+if __name__ == "__main__":
+    run()
