--- a/burlloom/lab/hollow.py
+++ b/burlloom/lab/hollow.py
@@ -5,8 +5,8 @@
 
 Whoever runs it sends `begin`, learns from `open` under which address each server is reached, and tells all hosts all of
 the addresses (`places`), since the network between them is in their sending path (`distances.py`). Then `start`, `kill`,
-`leave`, `stand` (still, for `for` seconds) with `names`, `net` for delays, losses and cuts, `want` for demand, `ask` for what each
-one cost, `end`. Events that a checker wants, each share and each life with its time, go to the file that `begin` names.
+`leave`, `stand` (still, for `for` seconds) with `names`, `tell` for what a core makes of it, `net` for delays, losses and cuts, `ask`
+for what each one cost, `end`. Events that a checker wants, each share and each life with its time, go to the file that `begin` names.
 """
 
 import asyncio
@@ -37,15 +37,18 @@
 
 
 class Core(Protocol):
-    """What a hollow server runs. `out`: (address, datagram)."""
+    """What a hollow server runs. `out`: address and datagram, an address as text or as host and port."""
 
-    out: deque[tuple[str, bytes]]
+    out: deque[Any]
 
     def tick(self, now: int) -> None: ...
-    def hear(self, now: int, data: bytes, source: str) -> None: ...
+    def hear(self, now: int, data: bytes, source: tuple[str, int]) -> None: ...
     def leave(self, now: int) -> None: ...
     def woke(self, now: int) -> None:
         """It stood still, and hears what waited for it next."""
+    def close(self) -> None:
+        """It is over, without a word."""
+    def told(self, message: dict[str, Any]) -> None: ...
     def facts(self, now: int) -> dict[str, Any]:
         """Of this second, added up over a host: numbers by name."""
     def events(self, now: int) -> Iterable[list[Any]]:
@@ -60,7 +63,7 @@
         self.fleet = Fleet(word, tuple(told["seeds"]), (bytes.fromhex(told["key"]),), Terms(**told["terms"]),
                            Habits(**told.get("habits", {})), chance, now)
         self.out, self.demand, self.share = self.fleet.out, int(told.get("demand", 8.0) * CALL), -1
-        self.told: list[list[Any]] = []
+        self.seen: list[list[Any]] = []
 
     def tick(self, now: int) -> None:
         fleet = self.fleet
@@ -68,7 +71,7 @@
         fleet.tick(now)
         self.after(now)
 
-    def hear(self, now: int, data: bytes, source: str) -> None:
+    def hear(self, now: int, data: bytes, source: tuple[str, int]) -> None:
         self.fleet.hear(now, data)
         self.after(now)
 
@@ -78,7 +81,7 @@
         share = fleet.share if fleet.good(now) else 0  # as the server asks before each call
         if share != self.share:
             self.share = share
-            self.told.append([now, "share", self.share])
+            self.seen.append([now, "share", self.share])
 
     def leave(self, now: int) -> None:
         self.fleet.leave(now)
@@ -86,6 +89,13 @@
     def woke(self, now: int) -> None:
         self.share = -1  # told anew, since its calls may have been counted as over
 
+    def close(self) -> None:
+        pass
+
+    def told(self, message: dict[str, Any]) -> None:
+        """`demand`: calls that it would have in hand."""
+        self.demand = int(float(message.get("demand", self.demand / CALL)) * CALL)
+
     def facts(self, now: int) -> dict[str, Any]:
         fleet = self.fleet
         return {"share": fleet.share, f"holder {fleet.holder.state.name.lower()}": 1, "there": len(fleet.members.there()),
@@ -93,12 +103,20 @@
                 f"view {fleet.members.digest}": 1}
 
     def events(self, now: int) -> Iterable[list[Any]]:
-        told, self.told = self.told, []
-        return told
+        seen, self.seen = self.seen, []
+        return seen
+
+
+Made = Callable[[Place, str, int, dict[str, Any], Random, int], Core]
 
 
-# By the name of what `begin` has them do.
-CORES: dict[str, Callable[[Place, str, int, dict[str, Any], Random, int], Core]] = {"fleet": Member}
+def made_by(kind: str) -> Made:
+    """By the name of what `begin` has them do; what is not wanted is not imported."""
+    if kind == "fleet":
+        return Member
+    from .hollow_configuration import Controlling, Following
+    made: dict[str, Made] = {"follower": Following, "control": Controlling}
+    return made[kind]
 
 
 class Mouth(asyncio.DatagramProtocol):
@@ -109,7 +127,7 @@
         self.address, self.lives = "", 0
         self.core: Core | None = None
         self.stands_until = 0.0
-        self.stuck: list[tuple[bytes, str]] = []
+        self.stuck: list[tuple[bytes, tuple[str, int]]] = []
         self.core_ns = self.out_bytes = self.in_bytes = self.outs = self.ins = 0
 
     def connection_made(self, transport: Any) -> None:
@@ -138,11 +156,11 @@
         self.in_bytes += len(data)
         if self.stands_until:
             if len(self.stuck) < KEPT_MOST:
-                self.stuck.append((data, "%s:%d" % source))
+                self.stuck.append((data, source))
             return
-        self.hears(data, "%s:%d" % source)
+        self.hears(data, source)
 
-    def hears(self, data: bytes, source: str) -> None:
+    def hears(self, data: bytes, source: tuple[str, int]) -> None:
         if self.core is not None:
             began = time.thread_time_ns()
             self.core.hear(self.host.now(), data, source)
@@ -153,7 +171,10 @@
         self.lives += 1
         host = self.host
         self.stuck, self.stands_until = [], 0.0
-        self.core = CORES[self.kind](self.own, self.address, life, host.told[self.kind], host.chance, host.now())
+        self.core = made_by(self.kind)(self.own, self.address, life, host.told[self.kind], host.chance, host.now())
+        gate = getattr(self.core, "gate", None)
+        if gate is not None:  # it sends when it likes
+            gate.flushes = self.flush
         host.note(self, "began", life)
         host.loop.call_later(TICK * host.chance.random(), self.ticks, self.core)
 
@@ -161,14 +182,15 @@
         if self.core is not core:
             return
         self.host.loop.call_later(TICK, self.ticks, core)
-        if not self.stands_until:
+        if not self.stands_until:  # one that stands still is not ticked; what its tasks do meanwhile waits in `out`
             began = time.thread_time_ns()
             core.tick(self.host.now())
             self.core_ns += time.thread_time_ns() - began
             self.flush()
 
     def flush(self) -> None:
-        assert self.core is not None
+        if self.core is None or self.stands_until:
+            return
         out, host = self.core.out, self.host
         while out:
             address, data = out.popleft()
@@ -188,6 +210,7 @@
     def kill(self) -> None:
         if self.core is not None:
             self.events()
+            self.core.close()
             self.core, self.stuck = None, []
             self.host.note(self, "ended", 0)
 
@@ -225,7 +248,7 @@
         self.chance, self.told = Random(0), dict[str, Any]()
         self.net = Distances(self.chance)
         self.mouths: dict[str, list[Mouth]] = {}  # by the server's name, one for each of its cores
-        self.places: dict[str, tuple[tuple[str, int], Place]] = {}
+        self.places: dict[Any, tuple[tuple[str, int], Place]] = {}  # by both forms of the address
         self.outside: dict[tuple[str, int], Place] = {}  # who is in no host, by the address that it sends from
         self.file: TextIO | None = None
         self.ended = asyncio.Event()
@@ -273,7 +296,7 @@
         """`places`: [address, name, region, zone, rack] of all; `outside`: the same, of those in no host, by the address that
         they send from; `seeds` and the like, by the kind of core."""
         for address, name, region, zone, rack in message.get("places", ()):
-            self.places[address] = pair(address), place(name, region, zone, rack)
+            self.places[address] = self.places[pair(address)] = pair(address), place(name, region, zone, rack)
         for address, name, region, zone, rack in message.get("outside", ()):
             self.outside[pair(address)] = place(name, region, zone, rack)
         for kind, more in message.get("cores", {}).items():
@@ -297,6 +320,11 @@
         for mouth in self.named(message):
             mouth.stand(float(message["for"]))
 
+    async def tell(self, message: dict[str, Any]) -> None:
+        for mouth in self.named(message):
+            if mouth.core is not None:
+                mouth.core.told(message)
+
     async def network(self, message: dict[str, Any]) -> None:
         self.net.told(message)
 
@@ -363,7 +391,7 @@
 
 
 ORDERS = {"begin": Host.begin, "places": Host.know, "start": Host.start, "kill": Host.kill, "leave": Host.leave, "stand": Host.stand,
-          "net": Host.network, "ask": Host.ask, "end": Host.end}
+          "tell": Host.tell, "net": Host.network, "ask": Host.ask, "end": Host.end}
 
 
 async def main() -> None:
