Scale run: a small form for the tests, with faults planted in hosts that run

Cause: the run has to say the same on a busy machine. Change: 60 hollow and two real servers, judged by what is lost, reordered, shared out or answered wrongly and not by the clock; a gap that is taken and a change without what it says are planted. Conclusion: the faults are caught, the sound run passes.

--- a/benchmarks/scale_real.py
+++ b/benchmarks/scale_real.py
@@ -26,7 +26,6 @@
 
 CALL_S = 0.02  # that a call below takes
 CALLING = 4  # one request in so many makes a call below
-DUE = 6.0  # s, as the examples' configuration has it
 ANSWERS = {"Backoff": "declined", "Voided": "voided"}
 
 
@@ -49,11 +48,12 @@
 class Real(Rig):
     """One server, its executor, and who asks it. `started`: called after each start, with its log's newest addresses."""
 
-    def __init__(self, folder: Path, name: str, below: Below, rules: Rules, rate: float, chance: Random, operator: Any) -> None:
+    def __init__(self, folder: Path, name: str, below: Below, rules: Rules, rate: float, chance: Random, operator: Any,
+                 due: float = 6.0) -> None:
         folder.mkdir(exist_ok=True)
         super().__init__(folder, name=name, catalogue=below, operator=operator, n_cores=32, memory_kb=400000, calls_out=20.0, aim=2000000,
                          deadline=5000000, stop_ms=2000)
-        self.rules, self.rate, self.chance = rules, rate, chance
+        self.rules, self.rate, self.chance, self.due = rules, rate, chance, due
         self.added, self.added_calling = HdrHistogram(1, 60_000_000, 3), HdrHistogram(1, 60_000_000, 3)  # us
         self.life, self.began_at = 0, time.monotonic()
         self.ran: dict[str, float] = {}  # when the run of a request began
@@ -136,7 +136,7 @@
         id = told["id"]
         if self.chance.randrange(CALLING) == 0:
             self.calls.add(id)
-        self.rules.read(self.now(), self.name, life, id, DUE)
+        self.rules.read(self.now(), self.name, life, id, self.due)
         self.asked += 1
         answer = balancer.ask("look", told)
         try:
--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -68,6 +68,10 @@
     short: bool
     only: tuple[str, ...] = ()
     asked: float = 30.0  # requests a second to each real one
+    within: float = 6.0  # s until a change is to be in force
+    budgets: bool = True
+    patience: float = 60.0  # s, for which all are waited for after the start and at the end
+    main: tuple[str, ...] = ("-m", "burlloom.lab.hollow")  # what Python is to run for a host
 
 
 class Run:
@@ -81,6 +85,7 @@
         self.entries: dict[tuple[str, str, str], bytes] = {}
         self.reals: list[Real] = []
         self.rules = Rules(grace=2.5, tip_multiple=5, calls_most=1e9)
+        self.due = setting.within  # of answers: as long as the configuration has it, or longer where time is not judged
         self.below = Below(self.events)
         self.up, self.dead = set[str](), set[str]()
         self.store = Sqlite(folder / "store.sqlite")
@@ -160,7 +165,7 @@
         groups = ([(group, {"follower": follower}) for group in spread(outside, max(1, setting.hosts - in_zone))]
                   + [(group, {"fleet": fleet, "follower": follower}) for group in spread(self.zone, in_zone)]
                   + [([machine], control) for machine in self.machines])
-        self.hosts = Hosts(self.folder, groups, setting.seed)
+        self.hosts = Hosts(self.folder, groups, setting.seed, setting.main)
         async with AsyncExitStack() as stack:
             await stack.enter_async_context(self.hosts)
             stack.push_async_callback(self.store.close)
@@ -175,7 +180,7 @@
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
             self.say("contents")
-            await asyncio.sleep(3.0)
+            await self.converged()
             self.hosts.tell("tell", kind="follower", contents=True)
             await asyncio.sleep(2.0)
             self.faults = [fault for host in self.hosts.hosts for fault in host.faults]
@@ -183,6 +188,15 @@
         self.say("checking")
         return self.check()
 
+    async def converged(self) -> None:
+        """Until all say that they have the newest; the checker looks at what they have."""
+        newest = (await self.store.head()).revision
+        until = time.monotonic() + self.setting.patience
+        while time.monotonic() < until:
+            await asyncio.sleep(0.5)
+            if self.hosts.facts().get(f"revision {newest}", 0) == len(self.places) + len(self.machines):
+                return
+
     async def begin(self, stack: AsyncExitStack) -> None:
         hosts = self.hosts
         upstreams = [[machine.name, f"r{machine.region}", *pair(hosts.address(machine.name, "control"))] for machine in self.machines]
@@ -212,7 +226,7 @@
                                                        for name, region, host, port in upstreams],
                                          "state_file": str(self.folder / "real" / str(at) / "distribution")}}
             self.reals.append(Real(self.folder / "real" / str(at), f"real{at}", self.below, self.rules, self.setting.asked,
-                                   Random(self.setting.seed * 7 + at), operator))
+                                   Random(self.setting.seed * 7 + at), operator, self.due))
         await asyncio.gather(*(self.join(real) for real in self.reals))
 
     async def join(self, real: Real) -> None:
@@ -367,7 +381,8 @@
 
     def check(self) -> Checker:
         rows = [json.loads(line) for host in self.hosts.hosts if host.record.exists() for line in host.record.read_text().splitlines()]
-        rows += [event for real in self.reals for event in real.configured()]
+        self.configured = {real.name: real.configured() for real in self.reals}
+        rows += [event for told in self.configured.values() for event in told]
         budgets = {"control": Budget(cpu=1000.0, memory=2**31, traffic=1e9),  # a machine's core
                    "real": Budget(cpu=1e9, memory=256 * 2**20)}  # it serves besides: what control takes there is told by the hollow ones
         for host in self.hosts.hosts:
@@ -375,7 +390,7 @@
             self.events += [[second["at"], name, "traffic", second["in_bytes"] + second["out_bytes"]] for second in host.seconds]
             if not name.startswith("control"):  # so many servers in one process
                 budgets[name] = Budget(37.0 * count, 128 * 2**20 * count, 9 * 1024 * count)
-        checker = Checker(self.total, budgets)
+        checker = Checker(self.total, budgets if self.setting.budgets else {}, self.setting.within)
         checker.contents.wanted = self.wanted()
         return checker.check([*self.events, *rows])
 
@@ -395,10 +410,10 @@
 
 async def start(run: Run) -> None:
     """All have begun: until each has all that is in force, or for so long."""
-    until = time.monotonic() + 60
+    until = time.monotonic() + run.setting.patience
     while time.monotonic() < until and run.hosts.facts().get("whole", 0) < len(run.places) + len(run.machines):
         await asyncio.sleep(0.25)
-    await asyncio.sleep(3.0)
+    await asyncio.sleep(run.span(3.0))
 
 
 async def rest(run: Run) -> None:
--- a/burlloom/lab/hollow.py
+++ b/burlloom/lab/hollow.py
@@ -19,6 +19,7 @@
 import time
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from random import Random
 from typing import Any, Protocol, TextIO
 
@@ -402,9 +403,10 @@
 
     def read() -> None:
         # In a thread: a pipe that is read by lines of any length.
-        for line in sys.stdin:
-            loop.call_soon_threadsafe(orders.put_nowait, line)
-        loop.call_soon_threadsafe(host.ended.set)
+        with suppress(RuntimeError):  # the loop may be over before the input is
+            for line in sys.stdin:
+                loop.call_soon_threadsafe(orders.put_nowait, line)
+            loop.call_soon_threadsafe(host.ended.set)
     threading.Thread(target=read, daemon=True).start()
 
     async def obey() -> None:
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 from rig import ROOT, until  # first: it has the benchmarks found
 from hollow_hosts import KEY, Hosts, clock, spread
+from scale_run import Setting, played
 from scale_checker import SECOND, Budget, Checker, Contents, Faults, digest_of, worst_rate
 
 from burlloom.lab.distances import Cut, laid_out, place
@@ -169,3 +171,29 @@
     found = asyncio.run(fleet_of_hollow_servers(tmp_path, (str(ROOT / "tests" / "planted_host.py"), "share")))
     assert found.faults.count > 0
     assert "shared out" in found.faults.told[0]
+
+
+# Nothing here is judged by the clock: what is in force within a minute, or answered, is not late on a busy machine.
+SMALL = Setting(servers=60, hosts=2, control=3, real=2, rate=2.0, loss=0.01, entries=100, seed=1, short=True, only=("churn", "zone", "region"),
+                within=60.0, budgets=False)
+PLANT = replace(SMALL, servers=28, control=2, real=0, rate=5.0, only=("churn",))
+
+
+def test_the_small_form_of_the_scale_run():
+    run, found = played(SMALL, print)
+    assert found.faults.told == []
+    assert run.faults == [] and run.rules.faults == []
+    assert found.contents.looked_at == 60 and found.order.applied > 100 and found.order.caught
+    assert found.sums.worst > 0.5 and sum(real.settled for real in run.reals) > 0
+    assert len(run.configured) == 2 and all(run.configured.values())
+
+
+@pytest.mark.parametrize("plant, word", [("gap", "lost"), ("content", "something else")])
+def test_a_run_with_a_planted_fault_is_caught(plant: str, word: str):
+    _, found = played(replace(PLANT, main=(str(ROOT / "tests" / "planted_host.py"), plant), patience=5.0), print)
+    assert any(word in fault for fault in found.faults.told)
+
+
+def test_the_same_run_without_one_passes():
+    _, found = played(PLANT, print)
+    assert found.faults.told == []
