--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -93,6 +93,7 @@
         self.zone = [one for one in self.places if one.zone == 0]
         self.total = int(SHARE * 1000 * (len(self.zone) + setting.real))
         self.cuts: list[list[Any]] = []
+        self.story = STORY
         self.other = list[float]()
 
     def region_of(self, at: int) -> tuple[int, int]:
@@ -156,12 +157,12 @@
             await self.put([self.drawn(at)])
         await self.put([Entry("", "tenant", "acme", self.value())])  # whose requests the real ones get
         self.events.clear()  # what was there before counts as a whole
-        outside = [one for one in self.places if one.zone != 0]
+        outside = [one for one in self.places if one not in self.zone]
         follower = {"key": KEY, "signing_key": SIGNING}
         control = {"control": {**follower, "key_file": str(self.folder / "key"), "signing_key_file": str(self.folder / "signing"),
                                "store": str(self.folder / "store.sqlite")}}
         fleet = {"key": KEY, "terms": {"total": self.total, "least": (len(self.zone) + setting.real) // 2 + 1}, "seeds": [], "demand": 2 * SHARE}
-        in_zone = max(1, round(setting.hosts * len(self.zone) / len(self.places) * 2))
+        in_zone = 0 if not self.zone else max(1, round(setting.hosts * len(self.zone) / len(self.places) * 2))
         groups = ([(group, {"follower": follower}) for group in spread(outside, max(1, setting.hosts - in_zone))]
                   + [(group, {"fleet": fleet, "follower": follower}) for group in spread(self.zone, in_zone)]
                   + [([machine], control) for machine in self.machines])
@@ -172,7 +173,7 @@
             await self.begin(stack)
             tasks = [asyncio.create_task(task) for task in (self.changes(), self.watch())]
             try:
-                for name, does in STORY:
+                for name, does in self.story:
                     if not setting.only or name in setting.only or name in ("start", "rest", "settled"):
                         await self.phase(name, does)
             finally:
@@ -207,7 +208,7 @@
         hosts.tell("net", loss=self.setting.loss)
         hosts.tell_names("start", [one.name for one in self.machines])
         await asyncio.sleep(2.0)
-        hosts.tell_names("start", [self.zone[0].name])  # it has lived longest, and deals
+        hosts.tell_names("start", [one.name for one in self.zone[:1]])  # it has lived longest, and deals
         await asyncio.sleep(0.5)
         names = [one.name for one in self.places]
         for at in range(0, len(names), 200):
