--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -42,6 +42,7 @@
 RESTARTS, DEATHS, FLEET = 11_000 / 86_400, 740 / 86_400, 2600  # a second, over so many
 DEAD_FOR = 10.0  # s until one that died is replaced
 SHARE = 4.0  # calls below for each server of the zone that shares them out
+IN_FLEET = 50  # members of the fleet a host: each speaks to all others
 MILLION = 1_000_000
 
 
@@ -162,7 +163,7 @@
         control = {"control": {**follower, "key_file": str(self.folder / "key"), "signing_key_file": str(self.folder / "signing"),
                                "store": str(self.folder / "store.sqlite")}}
         fleet = {"key": KEY, "terms": {"total": self.total, "least": (len(self.zone) + setting.real) // 2 + 1}, "seeds": [], "demand": 2 * SHARE}
-        in_zone = 0 if not self.zone else max(1, round(setting.hosts * len(self.zone) / len(self.places) * 2))
+        in_zone = min(len(self.zone), 1 + len(self.zone) // IN_FLEET)
         groups = ([(group, {"follower": follower}) for group in spread(outside, max(1, setting.hosts - in_zone))]
                   + [(group, {"fleet": fleet, "follower": follower}) for group in spread(self.zone, in_zone)]
                   + [([machine], control) for machine in self.machines])
