Slopes by servers: the scripted crowd's churn is held against a swarm's

The figures under churn rest on a model of how news and views spread among scripted peers, which nothing had shown to be right.

--- a/tests/test_scale_servers.py
+++ b/tests/test_scale_servers.py
@@ -58,6 +58,41 @@
     assert not crowd.tally.kinds.keys() & {"SYNC", "PAGE"} and crowd.tally.kinds.keys() & {"PING", "ACK"}
 
 
+def test_a_restart_and_a_death_are_as_many_bytes_in_a_crowd_as_in_a_swarm() -> None:
+    """What a member sends more than at rest until ten seconds after; in a swarm the mean of all, in crowds that of six."""
+    with swarm_of(40, terms(40)) as swarm:
+        def sends(seconds: float) -> float:
+            before = swarm.net.bytes
+            swarm.run(seconds)
+            return (swarm.net.bytes - before) / 40
+        rest, (one, other) = sends(12), swarm.up()[10:12]
+        swarm.leave(one)
+        restart = sends(2) - rest
+        swarm.start(one)
+        restart += sends(10)
+        swarm.run(10)
+        swarm.kill(other)
+        death = sends(12) - rest
+    in_crowds = [0.0, 0.0]
+    for at in range(20, 38, 3):
+        crowd = Crowd(40, at, churn=1e-9, seed=at)
+
+        def more(began: int, crowd: Crowd = crowd) -> int:
+            crowd.run(12)
+            return crowd.tally.bytes_sent - began
+        crowd.run(5)
+        rest = more(crowd.tally.bytes_sent)
+        before = crowd.tally.bytes_sent
+        crowd.leaves(crowd.peers[10])
+        crowd.later(2_000_000_000, crowd.comes, crowd.peers[10])
+        in_crowds[0] += (more(before) - rest) / 6
+        crowd.run(10)
+        before = crowd.tally.bytes_sent
+        crowd.dies(crowd.peers[11])
+        in_crowds[1] += (more(before) - rest) / 6
+    assert in_crowds == pytest.approx([restart, death], rel=0.4)
+
+
 def test_a_swarm_begins_agreed_and_agrees_after_a_death() -> None:
     with swarm_of(12, terms(12)) as swarm:
         assert swarm.agreed()
