Benchmark of requests while a server leads a release; the generator's waits with thousands of connections

Change: `scale.py lead` with hollow servers that tell, leave and come back in the store (SQLite, with its own times); the epoll is made before the connections; who waits for a process that has ended is told so. Conclusion: p99 of all of these counts for nothing so far; the machine has not been quiet yet.

--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -26,6 +26,7 @@
 scale.add_command(scale_request.request)
 scale.add_command(scale_request.during)
 scale.add_command(scale_request.deal)
+scale.add_command(scale_request.lead)
 scale.add_command(scale_callers.callers)
 
 if __name__ == "__main__":
--- a/benchmarks/scale_callers.py
+++ b/benchmarks/scale_callers.py
@@ -21,7 +21,7 @@
 
 from processes import TOLD, machine, main_thread_ns, numbers, status_mb, told  # noqa: E402
 from rig import Rig  # noqa: E402
-from traffic import SECOND, Line, Load, Runs, generate, started  # noqa: E402
+from traffic import SECOND, Line, Load, Runs, generate, started, word_of  # noqa: E402
 
 from burlloom.lab.slopes import KEPT, Row  # noqa: E402
 
@@ -55,7 +55,7 @@
             memory, spent = status_mb(pid, "VmRSS"), await rate_of(pid, span)
             holder, pipe = started(held, rig.address, count)
             try:
-                await asyncio.wait_for(asyncio.to_thread(pipe.recv), 60)
+                await word_of(pipe, 60)
                 await asyncio.sleep(0.5)
                 more = await rate_of(pid, span)
                 return status_mb(pid, "VmRSS") - memory, more - spent
@@ -83,13 +83,13 @@
             memory, rest = status_mb(pid, "VmRSS"), await rate_of(pid, 1.0)
             generator, pipe = started(generate, rig.address, load)
             try:
-                await asyncio.wait_for(asyncio.to_thread(pipe.recv), 60)
+                await word_of(pipe, 60)
                 begin = time.monotonic_ns() + SECOND // 20
                 pipe.send(begin)
                 await asyncio.sleep((begin - time.monotonic_ns()) / SECOND + load.warm)
                 spent = await rate_of(pid, span)
                 more = status_mb(pid, "VmRSS") - memory
-                sent = await asyncio.to_thread(pipe.recv)
+                sent = await word_of(pipe)
                 first = begin + int(load.warm * SECOND)
                 return more, (spent - rest) * span / max(1, sum(one.intended >= first for one in sent))
             finally:
--- a/benchmarks/scale_request.py
+++ b/benchmarks/scale_request.py
@@ -5,6 +5,7 @@
     python benchmarks/scale.py request --harness          # no server: what generator and loopback add by themselves
     python benchmarks/scale.py during reload              # p99 and the longest answer around a change, by tenants
     python benchmarks/scale.py during rejoin              # around a rejoin of the member, by members
+    python benchmarks/scale.py lead                       # while it leads a release, by servers
     python benchmarks/scale.py deal                       # while it deals, by members; --plain: while another does
 
 Open loop: Poisson arrivals from a seed, latency from the intended moment, in an HDR histogram. Latency wants a machine
@@ -31,11 +32,12 @@
 
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent / "tests")]
 
+import hollow_releases  # noqa: E402
 from hollow_members import HOUR_MS, hollow, part_of  # noqa: E402
 from processes import ADDED_MS, TOLD, machine, main_thread_ns, numbers, passed_at, quiet, told, whole  # noqa: E402
 from rig import Rig  # noqa: E402
 from scale_configuration import tenants  # noqa: E402
-from traffic import SECOND, Load, Runs, Sent, Told, below, echo, generate, started, told_of  # noqa: E402
+from traffic import SECOND, Load, Runs, Sent, Told, below, echo, generate, started, told_of, word_of  # noqa: E402
 
 from burlloom.lab.slopes import KEPT, Row  # noqa: E402
 
@@ -78,7 +80,7 @@
         if load.call is not None:
             calls, told_calls = started(below, load.call)
             stack.callback(calls.kill)
-            catalogue = SimpleNamespace(address=await asyncio.to_thread(told_calls.recv))
+            catalogue = SimpleNamespace(address=await word_of(told_calls))
         rig = Rig(folder, n_cores=32, memory_kb=400000, calls_out=500.0, drain_grace=0, stop_ms=1500,
                   catalogue=catalogue)
         runs = Runs(rig.executor, load)
@@ -91,7 +93,7 @@
             await what.ready(rig)
         generator, pipe = started(generate, rig.address, load)
         stack.callback(generator.kill)
-        await asyncio.to_thread(pipe.recv)
+        await word_of(pipe)
         before, since = main_thread_ns(pid), time.monotonic_ns()
         await asyncio.sleep(SETTLE)
         idle = (main_thread_ns(pid) - before) / (time.monotonic_ns() - since)
@@ -106,12 +108,12 @@
         spent, span = main_thread_ns(pid) - before, time.monotonic_ns() - since
         loads.append(os.getloadavg()[0])
         moments = await happening if happening is not None else []
-        sent: list[Sent] = await asyncio.to_thread(pipe.recv)
+        sent: list[Sent] = await word_of(pipe)
         generator.join(10)
         own = dict(runs.own)
         if told_calls is not None:
             told_calls.send("over")
-            for id, had in (await asyncio.to_thread(told_calls.recv)).items():
+            for id, had in (await word_of(told_calls)).items():
                 own[id] = own.get(id, 0) + had
             calls.join(10)
         count = sum(first <= one.intended < last for one in sent)
@@ -126,12 +128,12 @@
 async def harness(load: Load) -> Told:
     """The same load on a process that answers at once."""
     process, ours = started(echo)
-    generator, pipe = started(generate, await asyncio.to_thread(ours.recv), load)
+    generator, pipe = started(generate, await word_of(ours), load)
     try:
-        await asyncio.to_thread(pipe.recv)
+        await word_of(pipe)
         begin = time.monotonic_ns() + SECOND // 5
         pipe.send(begin)
-        return told_of(await asyncio.to_thread(pipe.recv), {}, begin + int(load.warm * SECOND))
+        return told_of(await word_of(pipe), {}, begin + int(load.warm * SECOND))
     finally:
         for one in (generator, process):
             one.kill()
@@ -263,10 +265,10 @@
         for at in range(0, len(names), HOLLOW_MOST):
             part = part_of(folder, self.count, [])
             self.processes.append(started(hollow, names[at:at + HOLLOW_MOST], life + at, part))
-        told_all = [one for _, pipe in self.processes for one in await asyncio.to_thread(pipe.recv)]
+        told_all = [one for _, pipe in self.processes for one in await word_of(pipe)]
         for _, pipe in self.processes:
             pipe.send(told_all)
-            assert await asyncio.to_thread(pipe.recv) == "up"
+            assert await word_of(pipe) == "up"
         self.part = part_of(folder, self.count, [address for _, address, _ in told_all[:4]])
         return self
 
@@ -294,7 +296,7 @@
     async def seen(self) -> tuple[bool, list[tuple[str, int]]]:
         """Whether the server's view is that of others; by each hollow member, who deals, and how many are there."""
         self.tell("see")
-        found = [await asyncio.to_thread(pipe.recv) for _, pipe in self.processes]
+        found = [await word_of(pipe) for _, pipe in self.processes]
         return any(same for same, _ in found), [one for _, members in found for one in members]
 
     async def agreed(self, name: str) -> bool:
@@ -323,6 +325,52 @@
         return found
 
 
+class Leads(Reloads):
+    """The server leads a release of `count` servers, all others hollow; it runs the next version already."""
+
+    by = "servers"
+
+    async def __aenter__(self) -> "Leads":
+        self.folder = tempfile.TemporaryDirectory()
+        self.part = hollow_releases.part_of(Path(self.folder.name))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.process.kill()
+        self.process.join(10)
+        self.folder.cleanup()
+
+    def prepare(self, rig: Rig) -> None:
+        rig.operator = {"rollout": self.part}
+
+    async def ready(self, rig: Rig) -> None:
+        """Until all stand in the book, and the release has begun."""
+        names = [f"h{at:04d}" for at in range(self.count - 1)]
+        self.process, self.pipe = started(hollow_releases.tell, self.part["store"]["sqlite"]["path"], names)
+        async with asyncio.timeout(90):
+            while (seen := await self.seen())[0] < self.count:
+                await asyncio.sleep(0.5)
+            assert seen[2].startswith(rig.name), seen
+            self.pipe.send("start")
+            while not await word_of(self.pipe):
+                self.pipe.send("start")  # the leader wrote meanwhile
+            while (await self.seen())[1] == "IDLE":
+                await asyncio.sleep(0.5)
+            await asyncio.sleep(2.0)
+
+    async def seen(self) -> tuple[int, str, str]:
+        """How many stand in the book, the phase, and who leads."""
+        self.pipe.send("see")
+        found: tuple[int, str, str] = await word_of(self.pipe)
+        return found
+
+    async def happens(self, rig: Rig, first: int) -> list[int]:
+        await rest(first + int(self.seconds * SECOND))
+        phase = (await self.seen())[1]
+        assert phase != "IDLE", "the release was over before the count"
+        return []
+
+
 async def happened(load: Load, what: Reloads) -> Played:
     async with what:
         return await played(replace(load, seconds=what.seconds), what)
@@ -371,37 +419,64 @@
                f" {first or 'none'}")
 
 
+SIZED = (
+    click.option("--sizes", default=MEMBERS, show_default=True, callback=numbers, help="Members, or servers."),
+    click.option("--rate", default=300, show_default=True, type=click.IntRange(1, 5000), help="Requests a second."),
+    click.option("--seconds", default=8.0, show_default=True, type=click.FloatRange(0.2, 120), help="Of each size."),
+)
+
+
+def sized(command: Callable[..., None]) -> Callable[..., None]:
+    for option in SIZED:
+        command = option(command)
+    return command
+
+
 @click.command()
-@click.option("--sizes", default=MEMBERS, show_default=True, callback=numbers, help="Members.")
-@click.option("--rate", default=300, show_default=True, type=click.IntRange(1, 5000), help="Requests a second.")
-@click.option("--seconds", default=8.0, show_default=True, type=click.FloatRange(0.2, 120), help="Of each size.")
+@sized
 @click.option("--plain", is_flag=True, help="Another deals: the server is a member as all.")
 @common
 def deal(sizes: tuple[int, ...], rate: int, seconds: float, plain: bool, seed: int, dry: bool, to: Path) -> None:
     """p99 of requests at a server that deals the calls below to all members, or at a plain one."""
-    command = (f"python benchmarks/scale.py deal --sizes {','.join(map(str, sizes))} --rate {rate}"
-               f" --seconds {seconds:g} --seed {seed}" + " --plain" * plain)
+    steady([Members(count, 0, 0.0, deals=not plain) for count in sizes], rate, seconds, seed, None if dry else to,
+           "deal", " --plain" * plain, "as a member" if plain else "while it deals")
+
+
+@click.command()
+@sized
+@common
+def lead(sizes: tuple[int, ...], rate: int, seconds: float, seed: int, dry: bool, to: Path) -> None:
+    """p99 of requests at a server that leads a release of all servers."""
+    steady([Leads(count, 0, 0.0) for count in sizes], rate, seconds, seed, None if dry else to, "lead", "",
+           "while it leads a release")
+
+
+def steady(happenings: Sequence[Reloads], rate: int, seconds: float, seed: int, place: Path | None, name: str, more: str,
+           who: str) -> None:
+    """What is done all the time of a run."""
+    sizes = [one.count for one in happenings]
+    command = (f"python benchmarks/scale.py {name} --sizes {','.join(map(str, sizes))} --rate {rate}"
+               f" --seconds {seconds:g} --seed {seed}{more}")
     found: list[Told] = []
     plays: list[Played] = []
-    for count in track(sizes, "deal", console=TOLD):
-        happening = Members(count, 0, 0.0, deals=not plain)
+    for happening in track(happenings, name, console=TOLD):
         happening.seconds = seconds
-        play = uvloop.run(happened(Load(rate, 0, connections=32, seed=seed), happening))
+        play = uvloop.run(happened(Load(rate, 0, warm=min(2.0, seconds), seed=seed), happening))
         plays.append(play)
         found.append(told_of(play.sent, play.own, play.begin))
-        TOLD.print(f"{count} members: {play.idle:.1f} ms/s without requests, {play.used:.0f} with;"
+        TOLD.print(f"{happening.count} {happening.by}: {play.idle:.1f} ms/s without requests, {play.used:.0f} with;"
                    f" load {play.load:.1f}; {found[-1]}")
-    who = "as a member" if plain else "while it deals"
-    here = (f"{busy(plays)}{rate} requests a second, no calls below; the other members are hollow; {between(plays)};"
-            f" not settled: {unsettled(found)}")
-    for name, unit, values, note in (
-        (f"request p99 added {who}", "ms", [one.p99 for one in found], "added, as without a fleet"),
+    here = (f"{busy(plays)}{rate} requests a second, no calls below; the other {happenings[0].by} are hollow;"
+            f" {between(plays)}; not settled: {unsettled(found)}")
+    for title, unit, values, note in (
+        (f"request p99 added {who}", "ms", [one.p99 for one in found], "added, as without"),
         (f"request longest {who}", "ms", [one.longest for one in found], "the longest of all answers"),
         (f"request idle cpu {who}", "ms/s", [play.idle for play in plays],
-         "processor time of the loop's thread before the first request: the fleet's part and what any server does"),
+         "processor time of the loop's thread before the first request: this part and what any server does; without"
+         " the thread of the store, if any"),
     ):
-        told(Row(name, "members", unit, "rest", tuple(map(float, sizes)), tuple(values), command, f"{note}; {here}"),
-             None if dry else to)
+        told(Row(title, happenings[0].by, unit, "rest" if name == "deal" else "churn", tuple(map(float, sizes)),
+                 tuple(values), command, f"{note}; {here}"), place)
 
 
 def busy(plays: list[Played]) -> str:
--- a/benchmarks/traffic.py
+++ b/benchmarks/traffic.py
@@ -67,6 +67,15 @@
     return process, ours
 
 
+async def word_of(pipe: Pipe, within: float = 300.0) -> Any:
+    """What the process at the other end says next."""
+    try:
+        async with asyncio.timeout(within):
+            return await asyncio.to_thread(pipe.recv)
+    except EOFError:
+        raise RuntimeError("a process of the measurement ended before its time; its standard error says why") from None
+
+
 # The generator's process.
 
 
@@ -115,6 +124,8 @@
 def generate(pipe: Pipe, address: str, load: Load) -> None:
     """Says when it is ready; is told when to begin; tells all that became of its requests."""
     chance = random.Random(load.seed)
+    # Itself waited for by `select`, whose time-outs are finer than a millisecond: made first, as that takes low numbers.
+    heard = select.epoll()
     lines = [Line(address) for _ in range(load.connections)]
     for line in lines:
         line.say("health", {})
@@ -124,7 +135,6 @@
     while (at := at + chance.expovariate(load.rate)) < load.warm + load.seconds:
         times.append(begin + int(at * SECOND))
     by_number = {line.sock.fileno(): line for line in lines}
-    heard = select.epoll()  # itself waited for by `select`, whose time-outs are finer than a millisecond
     for number in by_number:
         heard.register(number, select.EPOLLIN)
     gc.collect()
--- a/tests/test_scale_request.py
+++ b/tests/test_scale_request.py
@@ -78,3 +78,12 @@
     run(tmp_path / "rows", "deal", "--sizes", "2,3,4,5,6", "--rate", "30", "--seconds", "0.3", *more)
     assert {name for name, _, _ in newest(kept(tmp_path / "rows"))} == {
         f"request p99 added {who}", f"request longest {who}", f"request idle cpu {who}"}
+
+
+def test_a_server_leads_a_release_while_requests_come(tmp_path: Path) -> None:
+    """The play begins once all stand in its book and a release is under way, and ends before that does."""
+    run(tmp_path / "rows", "lead", "--sizes", "4,5,6,7,8", "--rate", "30", "--seconds", "0.3")
+    found = newest(kept(tmp_path / "rows"))
+    assert {name for name, _, _ in found} == {f"request {what} while it leads a release" for what in (
+        "p99 added", "longest", "idle cpu")}
+    assert all(row.by == "servers" for row in found.values())
