Tests of the table: paging that never gets on fails in place of never ending

Cause: with the check of the range's scope left out (a trial on a scratch copy) two tests paged for ever. Change: each page has to end past the one before.

--- a/tests/test_distribution_table.py
+++ b/tests/test_distribution_table.py
@@ -69,6 +69,7 @@
         page = table.page(bucket, after, scopes, most)
         assert page.last == (page.entries[-1][:3] if page.entries else None)
         assert sum(len(msgpack.packb(entry)) for entry in page.entries) <= most
+        assert after is None or page.last is None or page.last > after  # it goes on, or a test would never end
         found += page.entries
         if page.done:
             return found
@@ -144,6 +145,8 @@
                 assert here.replace(bucket, after, page) == 0
                 if page.done:
                     break
+                assert page.last is not None
+                assert after is None or page.last > after
                 after = page.last
     for bucket in range(BUCKETS):
         after_all.put(whole(there, bucket, SCOPES))
