Tests of the table: a value that looks like a key is none

Change: a test that puts a key's bytes into a neighbour's value; each of the three searches left unbounded fails it.

--- a/tests/test_distribution_table.py
+++ b/tests/test_distribution_table.py
@@ -69,7 +69,7 @@
         page = table.page(bucket, after, scopes, most)
         assert page.last == (page.entries[-1][:3] if page.entries else None)
         assert sum(len(msgpack.packb(entry)) for entry in page.entries) <= most
-        assert after is None or page.last is None or page.last > after  # it goes on, or a test would never end
+        assert after is None or page.last is None or page.last > after  # or a test would never end
         found += page.entries
         if page.done:
             return found
@@ -323,3 +323,17 @@
     for name in ("bad", "word"):
         with pytest.raises(ValueError):
             tenants[name]
+
+
+def test_a_value_that_looks_like_a_key_is_none() -> None:
+    """Keys of a leaf are found by one search; what stands in its values must never be taken for one."""
+    table, hidden = Table(None), CROWDED[1]
+    lie = b"\xfft" + hidden.encode() + b"\xff"
+    table.put([Entry("", "tenant", CROWDED[0], lie)])
+    assert (table.get("tenant", hidden), table.has("tenant", hidden)) == (None, False)
+    assert table.count("tenant") == 1
+    table.put([Entry("", "tenant", hidden, None)])
+    assert table.get("tenant", CROWDED[0]) == lie
+    table.put([Entry("", "tenant", hidden, b"true")])
+    assert (table.get("tenant", hidden), table.get("tenant", CROWDED[0])) == (b"true", lie)
+    assert table.count("tenant") == 2
