--- a/benchmarks/scale_configuration.py
+++ b/benchmarks/scale_configuration.py
@@ -257,8 +257,8 @@
     told(Row("routes memory", "routes", "MB", "rest", tuple(map(float, sizes)), tuple(measured),
              f"python benchmarks/scale.py routes --sizes {','.join(map(str, sizes))}",
              "a YARDSTICK, not the program: it has no routes in its configuration today; resident growth of a process"
-             " that builds a plain dict of paths of some 35 letters to (service, ms, share), which is a guess of a route;"
-             f" {machine()}"), None if dry else to)
+             " that builds a plain dict of paths of some 35 letters to (service, ms, share), which is a guess of a"
+             f" route; {machine()}"), None if dry else to)
     ends = passed_at(sizes, measured, MEMORY_MB)
     click.echo(f"{MEMORY_MB:g} MB passed at {'no size' if ends is None else f'{ends:.0f} routes'};"
                f" {1e6 * fit(sizes, measured).at(240_000) / 240_000:.0f} bytes a route at 240,000")
--- a/benchmarks/scale_request.py
+++ b/benchmarks/scale_request.py
@@ -197,19 +197,19 @@
         return
     row(f"request cpu{kind}", "ms", [play.cpu for play in plays],
         "processor time of the loop's thread a request, less what it takes at rest")
-    about = (f"{busy(plays)}from the intended moment, less what the stand-ins had the request; reading of commands by the"
-             f" stand-ins and the generator's own lateness (p99 {max(one.late_p99 for one in found):.2f} ms at most) are in it;"
-             f" load of each {', '.join(f'{play.load:.1f}' for play in plays)}; not settled: "
-             f"{unsettled(found)}")
+    late = max(one.late_p99 for one in found)
+    about = (f"{busy(plays)}from the intended moment, less what the stand-ins had the request; reading of commands by"
+             f" the stand-ins and the generator's own lateness (p99 {late:.2f} ms at most) are in it; load of each"
+             f" {', '.join(f'{play.load:.1f}' for play in plays)}; not settled: {unsettled(found)}")
     row(f"request p50 added{kind}", "ms", [one.p50 for one in found], about)
     row(f"request p99 added{kind}", "ms", [one.p99 for one in found], about)
     row(f"request p99 added least{kind}", "ms", [least_p99(play) for play in plays],
-        f"of each {CALM // SECOND} s of the run the p99, and of these the least: what others on the machine add is mostly"
-        f" not in it; no measure of 99 in 100 over a long time; {about}")
+        f"of each {CALM // SECOND} s of the run the p99, and of these the least: what others on the machine add is"
+        f" mostly not in it; no measure of 99 in 100 over a long time; {about}")
     ends = passed_at(rates, [one.p99 for one in found], ADDED_MS, 1e5)
     first = next((rate for rate, one in zip(rates, found, strict=True) if one.p99 > ADDED_MS), None)
-    click.echo(f"{ADDED_MS} ms added at the 99th percentile: first passed of those measured at {first or 'none'}, by the"
-               f" fit at {'none' if ends is None else f'{ends:.0f}'} a second")
+    click.echo(f"{ADDED_MS} ms added at the 99th percentile: first passed of those measured at {first or 'none'},"
+               f" by the fit at {'none' if ends is None else f'{ends:.0f}'} a second")
     ends = passed_at(rates, [play.used for play in plays], 1000.0, 1e5)
     click.echo(f"a whole core is passed at {'none' if ends is None else f'{ends:.0f}'} a second")
 
@@ -303,8 +303,8 @@
             pipe.send(words)
 
     async def ready(self, rig: Rig) -> None:
-        """Until nearly all know nearly all (of few, all of them) and who deals, and the server's view is another's too; or
-        nearly so for a while, as on a busy machine there is always somebody who is suspected."""
+        """Until nearly all know nearly all (of few, all of them) and who deals, and the server's view is another's too;
+        or nearly so for a while, as on a busy machine there is always somebody who is suspected."""
         self.tell("real", re.findall(r"event=fleet-open .* address=(\S+)", rig.log())[-1])
         async with asyncio.timeout(60):
             same, since = False, 0
@@ -425,8 +425,8 @@
         TOLD.print(f"{count}: load {play.load:.1f}\n  around: {near[-1]}\n  beside: {beside[-1]}")
     here = (f"{busy(plays)}requests that were to be sent from a quarter of a second before to three quarters after,"
             f" {times} times at {rate} a second, no calls below; {between(plays)}; not settled: {unsettled(near)}"
-            + ("" if kind is Reloads else f"; the other members are hollow, the server was cut off for {CUT:g} s before,"
-               f" and gone to {', '.join(f'{100 * one:.0f}%' for one in gone)} of them when it was healed"))
+            + ("" if kind is Reloads else f"; the other members are hollow, the server was cut off for {CUT:g} s"
+               f" before, and gone to {', '.join(f'{100 * one:.0f}%' for one in gone)} of them when it was healed"))
     for name, values, note in (
         (f"request p99 added in a {what}", [one.p99 for one in near], "added, as without"),
         (f"request longest in a {what}", [one.longest for one in near], "the longest of all answers"),
@@ -472,8 +472,8 @@
            "while it leads a release")
 
 
-def steady(happenings: Sequence[Reloads], rate: int, seconds: float, seed: int, place: Path | None, name: str, more: str,
-           who: str) -> None:
+def steady(happenings: Sequence[Reloads], rate: int, seconds: float, seed: int, place: Path | None, name: str,
+           more: str, who: str) -> None:
     """What is done all the time of a run."""
     sizes = [one.count for one in happenings]
     command = (f"python benchmarks/scale.py {name} --sizes {','.join(map(str, sizes))} --rate {rate}"
--- a/benchmarks/traffic.py
+++ b/benchmarks/traffic.py
@@ -124,7 +124,7 @@
 def generate(pipe: Pipe, address: str, load: Load) -> None:
     """Says when it is ready; is told when to begin; tells all that became of its requests."""
     chance = random.Random(load.seed)
-    # Itself waited for by `select`, whose time-outs are finer than a millisecond: made first, as that takes low numbers.
+    # Itself waited for by `select`, whose time-outs are finer than 1 ms: made first, as that takes low numbers.
     heard = select.epoll()
     lines = [Line(address) for _ in range(load.connections)]
     for line in lines:
