Record tests: order in place of time where no store is to hang

Cause of the time-outs in test_a_retry_that_reaches_another_node and test_a_node_that_never_ends_it_leaves_its_repeats_voided: a claim that is not durable within 0.375 s (a quarter of the SLA time) is declined, as it should be, and a connection that says nothing for 0.4 s is given up; no EXEC comes then, and the test waits for one until its patience is over. The stand-in lives in the test's process and is as late as that.

Change: both are told with times that no busy machine takes, and what was waited for by the number of commits, which say nothing of who made them, is waited for by the store's looks at the mark: the stand-in counts what it executed. The one whose end is the txn's own time asks with the moment of its first try, so that its time is nearly over, and is seen to ask the store more than once before it is voided: stricter than before.

--- a/burlloom/standins/postgres.py
+++ b/burlloom/standins/postgres.py
@@ -14,6 +14,7 @@
 import sqlite3
 import struct
 import sys
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -71,6 +72,7 @@
         self.lock = asyncio.Lock()
         self.sessions: set[Session] = set()
         self.commits = self.connects = self.cancels = 0
+        self.executed: Counter[str] = Counter()  # statements whose rows are known
         self.server: asyncio.Server | None = None
         self.address = ""
         self.mechanism = scramp.ScramMechanism("SCRAM-SHA-256")
@@ -364,6 +366,7 @@
             db = self.server.db if self.holds else self.server.reads
             cursor = db.execute(sql, values)
             rows = cursor.fetchall()
+            self.server.executed[sql] += 1
         except sqlite3.IntegrityError as error:
             raise Failed("23505", str(error)) from error
         except sqlite3.OperationalError as error:
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -116,7 +117,17 @@
 # Several nodes, one store.
 
 
-def fleet(nodes: int, terms: dict[str, Any] | None = None, **changes: Any) -> Callable[[Any], Callable[[Path], None]]:
+def looks(standin: Postgres) -> int:
+    """How often the store was asked for a mark, and knew what to say."""
+    return sum(count for sql, count in standin.executed.items() if "FROM fate WHERE mark =" in sql)
+
+
+# Where no store hangs by order, none counts as hanging: it is as late as the machine is.
+PATIENT: dict[str, Any] = {"hang_ms": 60_000, "aim": 40_000_000, "deadline": 60_000_000, "window": 180_000_000}
+
+
+def fleet(nodes: int, terms: dict[str, Any] | None = None, hang_ms: int = 400,
+          **changes: Any) -> Callable[[Any], Callable[[Path], None]]:
     """Makes a test of a story told with several rigs and the database stand-in that they share."""
     def wrap(story: Callable[..., Awaitable[None]]) -> Callable[[Path], None]:
         def test(tmp_path: Path) -> None:
@@ -128,7 +139,7 @@
                 for n in range(nodes):
                     folder = tmp_path / f"n{n}"
                     folder.mkdir()
-                    store = {"address": standin.address, "key_file": str(tmp_path / "key"), "hang_ms": 400}
+                    store = {"address": standin.address, "key_file": str(tmp_path / "key"), "hang_ms": hang_ms}
                     rigs.append(Rig(folder, operator={"record": {"node": f"n{n}", "postgres": store,
                                                                  **(terms or {})}}, **changes))
                 try:
@@ -146,14 +157,15 @@
     return wrap
 
 
-@fleet(2, n_cores=4)
+@fleet(2, n_cores=4, **PATIENT)
 async def test_a_retry_that_reaches_another_node(standin: Postgres, one: Rig, two: Rig) -> None:
     """Ended there: it gets the first answer. Running there: it waits for it. Both run once."""
     here, there = await one.balancer(), await two.balancer()
     first = here.ask("pay", fields(once="k"))
     ran = await one.command("EXEC", "pay")
+    before = looks(standin)
     waits = there.ask("pay", fields(once="k", retry="1"))
-    await until(lambda: standin.commits > 6)
+    await until(lambda: looks(standin) > before)
     one.executor.exit(ran, result=b"paid")
     await gets(first, b"paid")
     await gets(waits, b"paid")
@@ -178,13 +190,17 @@
     assert two.executor.commands.empty()
 
 
-@fleet(2, n_cores=4, deadline=1500000)
+@fleet(2, n_cores=4, **PATIENT)
 async def test_a_node_that_never_ends_it_leaves_its_repeats_voided(standin: Postgres, one: Rig, two: Rig) -> None:
     """While it is there, until their time is over; once it has come back, at once."""
     (await one.balancer()).ask("pay", fields(once="k"))
     await one.command("EXEC", "pay")
     there = await two.balancer()
-    await fails(there.ask("pay", fields(once="k", retry="1")), "Voided")
+    before = looks(standin)
+    waits = there.ask("pay", fields(once="k", retry="1", at=str(time.time_ns() // 1_000_000 - 56_000)))
+    await until(lambda: looks(standin) > before + 1)
+    assert not waits.done()  # it asks again and again
+    await fails(waits, "Voided")
     await one.kill()
     one.executor.restart()
     await one.begin()
