Rollout's file: a lock is waited for by looks that are frequent and spread, commands for longer

Cause of `database is locked` in test_a_release_in_waves: SQLite's own wait of 2 s is no way to wait where several processes write all the time. It looks ever more seldom, in the end each 0.1 s, so some twenty times, all waiters alike; whoever holds the lock waits for a core meanwhile, and somebody finds it taken at each look. A command ended with status 2 by that, the opening of a store raised, a server counted its store as away. A fault of the program.

Change: `record/turns.py` says again what was refused for the lock (such a statement took no hold), every 1 to 15 ms by chance, within 2 s for servers and drivers, who try again by themselves, and 30 s for commands of a person. It holds for opening and the schema's steps too, which SQLite refuses in part without any wait. A store that is being closed waits no more: its thread kept an ending process for up to two seconds.

--- a/burlloom/command/rollout.py
+++ b/burlloom/command/rollout.py
@@ -20,6 +20,8 @@
 
 TRIES = 50  # at a step while others write too
 LOOK_S = 0.2
+LOCK_S = 30.0  # a person waits rather than is told that others write just now
+DRIVE_LOCK_S = 2.0  # who leads looks again by itself
 reason_option = click.option("--reason", default="", help="Kept with the step, for those who look later.")
 
 
@@ -35,15 +37,15 @@
     return found, found.rollout
 
 
-def with_shelf(operator: Path | None, work: "Callable[[Shelf], Awaitable[Any]]") -> Any:
-    """Ends with one line and status 2 where the store can't be used, or says no."""
+def with_shelf(operator: Path | None, work: "Callable[[Shelf], Awaitable[Any]]", wait: float = LOCK_S) -> Any:
+    """`wait`: s for a lock that another holds. Ends with one line and status 2 where the store can't be used, or says no."""
     from ..rollout import Denied
     from ..rollout.stores import Away, Unreadable
     from ..rollout.stores.opening import shelf_of
     told, _ = part_of(operator)
 
     async def whole() -> Any:
-        shelf = shelf_of(told)
+        shelf = shelf_of(told, wait)
         try:
             await shelf.open()
             return await work(shelf)
@@ -326,6 +328,6 @@
                 page = None
             await asyncio.sleep(part.poll_ms / 1000)
     try:
-        with_shelf(operator, work)
+        with_shelf(operator, work, DRIVE_LOCK_S)
     except KeyboardInterrupt:
         pass
--- a/burlloom/record/sqlite.py
+++ b/burlloom/record/sqlite.py
@@ -24,6 +24,7 @@
 from .rows import BEGUN, Kind, Row, Word, Write, answer, of_finish, of_withdraw
 from .seal import Sealer
 from .store import Done, Opened, Refused, Verdicts, deliver
+from .turns import WAIT, Turns
 
 log = logging.getLogger(__name__)
 
@@ -65,36 +66,49 @@
     return Tick(boot, time.clock_gettime_ns(time.CLOCK_BOOTTIME), time.time_ns())
 
 
-def connect(path: Path, pages: int = 0) -> sqlite3.Connection:
-    """Of a record's file, made if there is none. Raises `Refused`, or what sqlite3 raises."""
+def connect(path: Path, pages: int = 0, turns: Turns | None = None) -> sqlite3.Connection:
+    """Of a record's file, made if there is none. Raises `Refused`, or what sqlite3 raises.
+
+    `turns`: of whoever has each statement wait for the file's lock by them; without, SQLite waits for it."""
+    db = (turns or Turns()).take(lambda: connected(path, pages))
+    if turns is None:
+        db.execute(f"PRAGMA busy_timeout = {WAIT * 1000:.0f}")
+    return db
+
+
+def connected(path: Path, pages: int) -> sqlite3.Connection:
     fresh = not path.exists() or not path.stat().st_size
     try:
-        db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=2.0, cached_statements=64)
+        db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=0.0, cached_statements=64)
     except sqlite3.OperationalError as error:
         raise Refused(f"{path}: {error}") from error
-    if fresh:
-        os.chmod(path, 0o600)
-        db.execute("PRAGMA auto_vacuum = INCREMENTAL")
-        db.execute(f"PRAGMA application_id = {schema.APPLICATION}")
-    (application,) = db.execute("PRAGMA application_id").fetchone()
-    if application != schema.APPLICATION:
+    try:
+        if fresh:
+            os.chmod(path, 0o600)
+            db.execute("PRAGMA auto_vacuum = INCREMENTAL")
+            db.execute(f"PRAGMA application_id = {schema.APPLICATION}")
+        (application,) = db.execute("PRAGMA application_id").fetchone()
+        if application != schema.APPLICATION:
+            raise Refused(f"{path}: not a burlloom record but another program's database")
+        db.execute("PRAGMA journal_mode = WAL")
+        db.execute("PRAGMA synchronous = FULL")
+        db.execute(f"PRAGMA wal_autocheckpoint = {LOG_PAGES}")
+        db.execute("PRAGMA trusted_schema = OFF")
+        db.execute("PRAGMA cell_size_check = ON")
+        if pages:
+            db.execute(f"PRAGMA max_page_count = {pages}")
+    except BaseException:
         db.close()
-        raise Refused(f"{path}: not a burlloom record but another program's database")
-    db.execute("PRAGMA journal_mode = WAL")
-    db.execute("PRAGMA synchronous = FULL")
-    db.execute(f"PRAGMA wal_autocheckpoint = {LOG_PAGES}")
-    db.execute("PRAGMA trusted_schema = OFF")
-    db.execute("PRAGMA cell_size_check = ON")
-    if pages:
-        db.execute(f"PRAGMA max_page_count = {pages}")
+        raise
     return db
 
 
-def migrate(db: sqlite3.Connection, path: Path) -> tuple[int, ...]:
+def migrate(db: sqlite3.Connection, path: Path, turns: Turns | None = None) -> tuple[int, ...]:
     """The steps taken. Each looks anew under the lock: several processes may open one file at once."""
     taken: list[int] = []
+    turns = turns or Turns()
     while True:
-        db.execute("BEGIN IMMEDIATE")
+        turns.take(lambda: db.execute("BEGIN IMMEDIATE"))
         try:
             (have,) = db.execute("PRAGMA user_version").fetchone()
             if have > schema.LATEST:
--- a/burlloom/rollout/stores/opening.py
+++ b/burlloom/rollout/stores/opening.py
@@ -4,18 +4,19 @@
 from typing import TYPE_CHECKING
 
 from ...record.opening import store_of
+from ...record.turns import WAIT
 from .shelf import Shelf
 
 if TYPE_CHECKING:
     from ...operator import Operator
 
 
-def shelf_of(operator: "Operator") -> Shelf:
-    """Raises `record.store.Refused`."""
+def shelf_of(operator: "Operator", wait: float = WAIT) -> Shelf:
+    """`wait`: s for a lock that another holds, of a store that is one file. Raises `record.store.Refused`."""
     place = operator.rollout_store()
     if place.sqlite is not None:
         from .sqlite import Sqlite
-        return Sqlite(place.sqlite.place())
+        return Sqlite(place.sqlite.place(), wait)
     from ...record.postgres import Postgres as Record
     from .postgres import Postgres
     record, _ = store_of(place, "-", keep=0, clock=time.time_ns)
--- a/burlloom/rollout/stores/sqlite.py
+++ b/burlloom/rollout/stores/sqlite.py
@@ -10,6 +10,7 @@
 
 from ...record.sqlite import connect, migrate
 from ...record.store import Refused
+from ...record.turns import WAIT, Turns
 from ...signals import block
 from .shelf import Away
 from .tables import Tables
@@ -21,8 +22,10 @@
 class Sqlite(Tables):
     """One thread of its own: a disk that is slow, or a lock that another holds, never keeps the loop."""
 
-    def __init__(self, path: Path) -> None:
-        self.path = path
+    def __init__(self, path: Path, wait: float = WAIT) -> None:
+        """`wait`: s for the lock that another holds, until the store counts as away."""
+        self.path, self.closing = path, False
+        self.turns = Turns(wait, over=lambda: self.closing)
         self.db: sqlite3.Connection | None = None
         self.file = 0
         self.thread = ThreadPoolExecutor(1, "rollout", initializer=block)
@@ -40,9 +43,9 @@
             if self.db is not None:
                 self.db.close()
                 self.db = None
-            db = connect(self.path)
+            db = connect(self.path, turns=self.turns)
             try:
-                migrate(db, self.path)
+                migrate(db, self.path, self.turns)
             except BaseException:
                 db.close()
                 raise
@@ -50,6 +53,7 @@
         await self.in_thread(work)
 
     async def run(self, sql: str, *values: Any) -> list[Any]:
+        """A statement alone is a transaction: one that was refused for the lock took no hold, and is said again."""
         def work() -> list[Any]:
             if self.db is None:
                 raise sqlite3.OperationalError("not open")
@@ -60,9 +64,10 @@
                 self.db = None
                 raise sqlite3.OperationalError("another file has taken its place")
             return self.db.execute(PARAMETER.sub(r"?\1", sql), values).fetchall()
-        return await self.in_thread(work)
+        return await self.in_thread(lambda: self.turns.take(work))
 
     async def close(self) -> None:
+        self.closing = True
         def work() -> None:
             if self.db is not None:
                 self.db.close()
--- a/tests/rollout_rig.py
+++ b/tests/rollout_rig.py
@@ -198,7 +198,7 @@
         await asyncio.gather(*(node.__aenter__() for node in self.nodes))
         self.file = self.folder / "operator.jsonnet"
         self.file.write_text(json.dumps({"rollout": {**QUICK, **self.part}, **self.joined(None)}))
-        self.shelf: Shelf = shelf_of(load(self.file))
+        self.shelf: Shelf = shelf_of(load(self.file), PATIENCE)
         await self.shelf.open()
         for node in self.nodes:
             node.tasks = [asyncio.create_task(node.platform()), asyncio.create_task(node.work()),
