--- a/burlloom/distribution/changes.py
+++ b/burlloom/distribution/changes.py
@@ -38,8 +38,8 @@
 
 
 class Change(NamedTuple):
-    """`time_ms`: Unix ms at the origin, never less than of the change before. `body`: MessagePack of a list of
-    [kind, key, value or nil]; None where it was left out for who does not hold the scope. `body_digest`:
+    """`time_ms`: Unix ms at the origin, never less than of the change before. `body`: MessagePack of a list
+    of [kind, key, value or nil]; None where it was left out for who does not hold the scope. `body_digest`:
     BLAKE2b-128 of it."""
 
     epoch: int
@@ -72,7 +72,8 @@
 
 
 def first_head(epoch: int, time_ms: int) -> Head:
-    """Where an epoch begins, before its first change. What lies in the table then is whatever the store had."""
+    """Where an epoch begins, before its first change. What lies in the table then is whatever the store
+    had."""
     return Head(epoch, 0, hashlib.blake2b(b"epoch %d" % epoch, digest_size=TAG).digest(), time_ms)
 
 
@@ -190,4 +191,4 @@
     return Head(change.epoch, change.revision, change.tag, change.time_ms)
 
 
-Check = Callable[[Entry], list[str]]  # faults of one entry by its meaning, each with its place within the value
+Check = Callable[[Entry], list[str]]  # faults of one entry by its meaning, with places within the value
--- a/burlloom/distribution/follower.py
+++ b/burlloom/distribution/follower.py
@@ -1,13 +1,13 @@
 """One server's side: it follows one upstream of several, and holds what that has. No I/O.
 
-A host gives it the time (`tick`, at `due` or several times a second) and what datagrams come (`hear`), and sends
-what lies in `out`. Times are ns of a clock that never steps back.
+A host gives it the time (`tick`, at `due` or several times a second) and what datagrams come (`hear`), and
+sends what lies in `out`. Times are ns of a clock that never steps back.
 
 The applied revisions of an epoch are dense whatever the network does, since only the change right after the
-head whose tag continues the head's is taken (`Copy.take`); the rest is held for its turn, or asked for again. A
-sync makes the table the upstream's by pages: it remembers the head from before the first page (the base), folds
-the changes after the base, and ends at a revision not before that of any page. Within an epoch nothing goes
-back; what the head of a later epoch says is taken by a sync.
+head whose tag continues the head's is taken (`Copy.take`); the rest is held for its turn, or asked for again.
+A sync makes the table the upstream's by pages: it remembers the head from before the first page (the base),
+folds the changes after the base, and ends at a revision not before that of any page. Within an epoch nothing
+goes back; what the head of a later epoch says is taken by a sync.
 """
 
 from collections import deque
@@ -22,8 +22,8 @@
 from ..tables import rows
 from .changes import NUMBER_MOST, Change, Entry, Head, Refused, break_of, head_of
 from .messages import (
-    PAGES_MOST, PULL_MOST, Body, Bye, Digests, DigestsAsk, Message, Paged, PagesAsk, Pull, Pushed, Redirect, Report,
-    Sender, Told, Unreadable, seal, unseal)
+    PAGES_MOST, PULL_MOST, Body, Bye, Digests, DigestsAsk, Message, Paged, PagesAsk, Pull, Pushed, Redirect,
+    Report, Sender, Told, Unreadable, seal, unseal)
 from .state import Copy
 from .table import BUCKETS, Place
 from .terms import MS, Terms
@@ -31,6 +31,7 @@
 EARLY_MOST = 256  # changes that wait for those before them, the earliest; 280 KB at most
 FOLD_MOST = 65_536  # keys that change while a sync runs: at four changes a second that is hours
 PUT_MOST = 64  # entries at once, of what was folded
+TRIES_MOST = 4  # after which a try waits no longer than the one before
 FETCH_MOST = 16  # buckets that are fetched at once, of PAGES_MOST pages each
 REPORTS_MOST = 4  # that may still be answered
 WORDS_MOST = 8  # of an upstream's age, for revisions that are still to come
@@ -117,20 +118,23 @@
 
 @dataclass(slots=True)
 class Fetch:
-    """A bucket on its way: behind `after` nothing came yet; `early` pages wait for those before them."""
+    """A bucket on its way: behind `after` nothing came yet; `early` pages wait for those before them.
+    `tries`: since one came; each waits twice as long, as a source that has no bytes left for pages answers
+    nothing."""
 
     after: Place | None
-    asked_at: int
+    again_at: int
+    tries: int = 0
     early: dict[Place, Paged] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
 class Sync:
-    """`base`: the head from before the first page; `tip`: how far the changes after it are folded; `target`: the
-    latest revision that a page was of."""
+    """`base`: the head from before the first page; `tip`: how far the changes after it are folded; `target`:
+    the latest revision that a page was of."""
 
     first: int  # number of the first DIGESTS_ASK
-    asked_at: int
+    again_at: int
     moved_at: int  # when anything last came of it
     halves: dict[tuple[int, int], Digests] = field(default_factory=dict)
     base: Head | None = None
@@ -147,15 +151,17 @@
 
     def __init__(self, copy: Copy, name: str, life: int, region: str, upstreams: Iterable[Upstream],
                  keys: tuple[bytes, ...], terms: Terms, chance: Random, now: int) -> None:
-        self.copy, self.name, self.life, self.keys, self.terms, self.chance = copy, name, life, keys, terms, chance
+        self.copy, self.name, self.life, self.keys = copy, name, life, keys
+        self.terms, self.chance = terms, chance
         self.upstreams = preferred(name, region, upstreams)
         if not 0 < len(self.upstreams) <= UPSTREAMS_MOST or terms.faults():
-            raise ValueError("; ".join(terms.faults()) or f"{len(self.upstreams)} upstreams, of 1 to {UPSTREAMS_MOST}")
+            raise ValueError("; ".join(terms.faults())
+                or f"{len(self.upstreams)} upstreams, of 1 to {UPSTREAMS_MOST}")
         self.state = State.EMPTY if copy.head is None else State.ALONE
         self.out: deque[tuple[Address, bytes]] = deque()
         self.counts = Counts()
         self.refusals: deque[tuple[str, Address]] = deque(maxlen=REFUSALS_MOST)  # until the host takes them
-        # Numbers of two lives are never the same, so that an answer to an earlier life means nothing to this one.
+        # Numbers of two lives are never the same: an answer to an earlier life means nothing to this one.
         self.number = life << 20 & NUMBER_MOST
         self.at = 0  # whom we follow, of `upstreams`
         self.answered = False  # whether it ever did, since we came to it
@@ -171,13 +177,13 @@
         self.probe_last = -1
         self.probe_at = now + self.jittered(terms.prefer)
         self.early: dict[int, Change] = {}
-        self.pull_number, self.pulled_at, self.pulled_to = -1, -1, 0
+        self.pull_number, self.pulled_at, self.pulled_to, self.pull_again = -1, -1, 0, now
         self.refused_row = 0
         self.sync: Sync | None = None
         self.patched_to = 0, 0  # epoch and revision that pages lie in the table of, where no sync ended since
         self.judged = self.number  # reports before this number say nothing of the table any more
         self.sure_at: int | None = None
-        self.words: deque[tuple[int, int, int]] = deque(maxlen=WORDS_MOST)  # epoch, revision, surely newest when
+        self.words: deque[tuple[int, int, int]] = deque(maxlen=WORDS_MOST)  # epoch, revision, newest when
 
     # What others ask.
 
@@ -194,10 +200,12 @@
         """When `tick` has something to do."""
         found = min(self.report_at, self.probe_at, self.heard_at + self.patience())
         if self.pulled_at >= 0:
-            found = min(found, self.pulled_at + self.terms.retry)
+            found = min(found, self.pull_again)
         if self.sync is not None:
-            found = min(found, self.sync.moved_at + self.terms.stuck, min([self.sync.asked_at] * (self.sync.base is None)
-                + [fetch.asked_at for fetch in self.sync.fetching.values()], default=found) + self.terms.retry)
+            found = min(found, self.sync.moved_at + self.terms.stuck,
+                *[fetch.again_at for fetch in self.sync.fetching.values()])
+            if self.sync.base is None:
+                found = min(found, self.sync.again_at)
         return found
 
     def patience(self) -> int:
@@ -220,7 +228,7 @@
             self.report(now)
         if now >= self.probe_at:
             self.look_around(now)
-        if self.pulled_at >= 0 and now - self.pulled_at >= self.terms.retry:
+        if self.pulled_at >= 0 and now >= self.pull_again:
             self.pulled_at = -1
             self.pull(now)
         if self.sync is not None:
@@ -308,7 +316,8 @@
             return fault
         if self.poor() != (told.age is None or told.age * MS > self.terms.stale):
             self.probe_at = min(self.probe_at, now + self.jittered(self.terms.beat))
-        back = self.told is not None and told.head[:2] < self.told.head[:2] and sender.number > self.told_number
+        back = (self.told is not None and told.head[:2] < self.told.head[:2]
+            and sender.number > self.told_number)
         same = self.told is not None and self.told.head.epoch == told.head.epoch and not back
         self.latest = max(self.latest if same else 0, told.head.revision)
         self.told, self.told_number, self.tried = told, sender.number, 0
@@ -361,7 +370,8 @@
             return ""  # doubled, late or played again
         if message.sender.name == self.upstream.name:
             self.latest = max(self.latest, change.revision)
-        if change.revision in self.early or len(self.early) < EARLY_MOST or change.revision == tip.revision + 1:
+        if (change.revision in self.early or len(self.early) < EARLY_MOST
+                or change.revision == tip.revision + 1):
             self.early[change.revision] = change
         reason = self.drain(now)
         self.meet(now, Input.CHANGE)
@@ -456,8 +466,8 @@
     # Tests.
 
     def apart(self) -> bool:
-        """Whether only a sync helps: nothing whole here, a later epoch, changes that can't be pulled any more, or
-        digests that differ at the same revision."""
+        """Whether only a sync helps: nothing whole here, a later epoch, changes that can't be pulled any
+        more, or digests that differ at the same revision."""
         told, head = self.told, self.copy.head
         if told is None:
             return False
@@ -481,7 +491,8 @@
     def short(self) -> bool:
         """Whether a sync is not at its end yet."""
         sync = self.sync
-        return sync is None or sync.tip is None or bool(sync.wanted or sync.fetching) or sync.tip.revision < sync.target
+        return (sync is None or sync.tip is None or bool(sync.wanted or sync.fetching)
+            or sync.tip.revision < sync.target)
 
     # Effects.
 
@@ -491,13 +502,15 @@
         if tip is None or tip.revision >= self.wanted_revision():
             self.pulled_at = -1
             return
-        if self.pulled_at >= 0 and tip.revision < self.pulled_to and now - self.pulled_at < self.terms.retry:
+        if self.pulled_at >= 0 and tip.revision < self.pulled_to and now < self.pull_again:
             return
         # Changes that are here already need not come again.
-        most = next((ahead for ahead in range(PULL_MOST) if tip.revision + 1 + ahead in self.early), PULL_MOST)
+        most = next((ahead for ahead in range(PULL_MOST) if tip.revision + 1 + ahead in self.early),
+            PULL_MOST)
         most = max(1, min(most, self.wanted_revision() - tip.revision))
         self.counts.pulls += 1
         self.pulled_at, self.pulled_to = now, tip.revision + most
+        self.pull_again = now + self.jittered(self.terms.retry)
         self.pull_number = self.send(self.upstream, Pull(tip.epoch, tip.revision, most))
 
     def wanted_revision(self) -> int:
@@ -508,7 +521,7 @@
         """Asks for the digests of all buckets."""
         self.counts.syncs += 1
         self.pulled_at = self.pull_number = -1
-        self.sync = Sync(self.send(self.upstream, DigestsAsk()), now, now)
+        self.sync = Sync(self.send(self.upstream, DigestsAsk()), now + self.jittered(self.terms.retry), now)
 
     def settle(self, now: int) -> None:
         """The end of a sync: what was folded lies over the pages."""
@@ -522,7 +535,7 @@
             self.refuse(f"the table refuses: {error!s:.100}", self.upstream.address)
             self.lose(now)
             return
-        if self.copy.patched or self.copy.head != sync.tip:  # else nothing had to be done, and the log holds on
+        if self.copy.patched or self.copy.head != sync.tip:  # else nothing was to be done: the log stays
             self.copy.settle(sync.tip)
         self.sync, self.judged, self.patched_to = None, self.number + 1, (0, 0)
         self.early = {revision: change for revision, change in self.early.items()
@@ -550,15 +563,14 @@
         if head != high.head:
             del sync.halves[number, 0], sync.halves[number, 1]
             return "DIGESTS of two moments"
-        if own is not None and head[:2] < own[:2]:
+        # Where something is in force no key may go back, also not behind pages of a sync that did not end.
+        if own is not None and head[:2] < max(own[:2], self.patched_to):
             self.lose(now)
             return "a base that is older than what is in force"
         theirs = low.digests + high.digests
         ours = self.copy.table.digests()
         sync.base = sync.tip = head
         sync.moved_at, sync.halves = now, {}
-        if self.patched_to[0] == head.epoch:  # of a sync that did not end: pages of that revision lie here
-            sync.target = self.patched_to[1]
         sync.wanted = [bucket for bucket in range(BUCKETS) if theirs[bucket] != ours[bucket]]
         self.chance.shuffle(sync.wanted)  # many newcomers at once ask for other parts each
         self.fetch(now, sync)
@@ -569,14 +581,15 @@
         while sync.wanted and len(sync.fetching) < FETCH_MOST:
             bucket = sync.wanted.pop()
             sync.fetching[bucket] = Fetch(None, now)
-            self.send(self.upstream, PagesAsk(bucket, None, PAGES_MOST))
+            self.ask_pages(now, bucket, sync.fetching[bucket])
         if not sync.fetching:
             self.meet(now, Input.FETCHED)
 
     def paged(self, now: int, message: Message) -> str:
         body, sync = message.body, self.sync
         assert isinstance(body, Paged)
-        if sync is None or sync.base is None or body.bucket not in sync.fetching or message.sender.number < sync.first:
+        if (sync is None or sync.base is None or body.bucket not in sync.fetching
+                or message.sender.number < sync.first):
             return ""  # doubled or late
         if body.epoch != sync.base.epoch or body.revision < sync.base.revision:
             return "a PAGE from before the base"
@@ -589,7 +602,7 @@
         page: Paged | None = body
         while page is not None:
             sync.target = max(sync.target, page.revision)
-            self.patched_to = page.epoch, sync.target
+            self.patched_to = max(self.patched_to, (page.epoch, page.revision))
             self.copy.patched = self.copy.head is not None
             try:
                 self.counts.mended += self.copy.table.replace(page.bucket, page.after, page.page)
@@ -603,20 +616,24 @@
                 return ""
             fetch.after, last = page.page.last, page.place == PAGES_MOST - 1
             page = fetch.early.pop(fetch.after, None) if fetch.after is not None else None
+            fetch.tries = 0
             if page is None and last:
-                fetch.asked_at = now
-                self.send(self.upstream, PagesAsk(body.bucket, fetch.after, PAGES_MOST))
+                self.ask_pages(now, body.bucket, fetch)
         return ""
 
+    def ask_pages(self, now: int, bucket: int, fetch: Fetch) -> None:
+        fetch.again_at = now + self.jittered(self.terms.retry << min(fetch.tries, TRIES_MOST))
+        fetch.tries += 1
+        self.send(self.upstream, PagesAsk(bucket, fetch.after, PAGES_MOST))
+
     def ask_again(self, now: int, sync: Sync) -> None:
-        if sync.base is None and now - sync.asked_at >= self.terms.retry:
-            sync.asked_at = now
+        if sync.base is None and now >= sync.again_at:
+            sync.again_at = now + self.jittered(self.terms.retry)
             self.send(self.upstream, DigestsAsk())
         for bucket, fetch in sync.fetching.items():
-            if now - fetch.asked_at >= self.terms.retry:
-                fetch.asked_at = now
+            if now >= fetch.again_at:
                 fetch.early.clear()
-                self.send(self.upstream, PagesAsk(bucket, fetch.after, PAGES_MOST))
+                self.ask_pages(now, bucket, fetch)
         if len(sync.fold) > FOLD_MOST:
             self.lose(now)
 
@@ -639,8 +656,8 @@
 
 
 def preferred(name: str, region: str, upstreams: Iterable[Upstream]) -> list[Upstream]:
-    """Own region's first, each part in rendezvous order (Thaler and Ravishankar, 1998), so that each follower has
-    its own and a lost one's followers spread over all others."""
+    """Own region's first, each part in rendezvous order (Thaler and Ravishankar, 1998), so that each follower
+    has its own and a lost one's followers spread over all others."""
     def weight(one: Upstream) -> tuple[bool, int]:
         return one.region == region, int(xxhash.xxh3_64_intdigest(f"{name}\n{one.name}".encode()))
     return sorted((one for one in upstreams if one.name != name), key=weight, reverse=True)
@@ -672,5 +689,5 @@
 
 RULES = rows(TABLE, State, Input, _test, _effect)
 HEARD: dict[type[Body], Callable[[Follower, int, Message], str]] = {
-    Told: Follower.headed, Pushed: Follower.changed, Redirect: Follower.redirected, Digests: Follower.digests_came,
-    Paged: Follower.paged}
+    Told: Follower.headed, Pushed: Follower.changed, Redirect: Follower.redirected,
+    Digests: Follower.digests_came, Paged: Follower.paged}
--- a/burlloom/distribution/messages.py
+++ b/burlloom/distribution/messages.py
@@ -1,9 +1,9 @@
 """What followers and those whom they follow send to each other: one datagram each, sealed. No I/O.
 
-A message is 16 bytes of a keyed BLAKE2b (RFC 7693) over the rest, then MessagePack: version, kind, the sender's
-name, its life, a number, and the kind's own fields. What is not exactly that is refused with a reason. A message
-that is played again does nothing: requests count up and each counts once (`Window`), answers carry the number
-of the request, and changes are in a chain.
+A message is 16 bytes of a keyed BLAKE2b (RFC 7693) over the rest, then MessagePack: version, kind, the
+sender's name, its life, a number, and the kind's own fields. What is not exactly that is refused with a
+reason. A message that is played again does nothing: requests count up and each counts once (`Window`),
+answers carry the number of the request, and changes are in a chain.
 """
 
 import hashlib
@@ -14,7 +14,8 @@
 
 import msgpack
 
-from .changes import BODY_MOST, KEY_MOST, NUMBER_MOST, SCOPE_MOST, TAG, VALUE_MOST, Change, Entry, Head, is_text
+from .changes import (
+    BODY_MOST, KEY_MOST, NUMBER_MOST, SCOPE_MOST, TAG, VALUE_MOST, Change, Entry, Head, is_text)
 from .changes import KINDS as ENTRY_KINDS
 from .table import BUCKETS, Page, Place
 
@@ -100,7 +101,8 @@
 
 
 class Paged(NamedTuple):
-    """One page, the `place`th of its PAGES_ASK; `epoch` and `revision`: of the table that it was read from."""
+    """One page, the `place`th of its PAGES_ASK; `epoch` and `revision`: of the table that it was read
+    from."""
 
     epoch: int
     revision: int
@@ -165,7 +167,8 @@
         raise Unreadable("no message")
     version, kind, name, life, number = got[:5]
     if type(version) is not int or version != VERSION:
-        raise Unreadable("an older version" if type(version) is int and version < VERSION else "another version")
+        older = type(version) is int and version < VERSION
+        raise Unreadable("an older version" if older else "another version")
     if type(kind) is not int or not 0 <= kind < len(Kind):
         raise Unreadable("of no kind")
     if not is_text(name, 1, NAME_MOST) or not whole(life) or not whole(number):
@@ -203,7 +206,8 @@
     return Told(head_from(epoch, revision, tag, time_ms), age, differs, oldest)
 
 
-def read_change(epoch: Any, revision: Any, time_ms: Any, scope: Any, body: Any, tag: Any, digest: Any) -> Body:
+def read_change(epoch: Any, revision: Any, time_ms: Any, scope: Any, body: Any, tag: Any,
+                digest: Any) -> Body:
     need(whole(epoch) and epoch > 0 and whole(revision) and revision > 0 and whole(time_ms)
          and is_text(scope, 0, SCOPE_MOST) and type(tag) is bytes and len(tag) == TAG
          and type(digest) is bytes and len(digest) == TAG
@@ -217,7 +221,8 @@
 
 
 def read_digests(epoch: Any, revision: Any, tag: Any, time_ms: Any, half: Any, digests: Any) -> Body:
-    need(half in (0, 1) and type(half) is int and type(digests) is bytes and len(digests) == 8 * HALF, "DIGESTS")
+    need(type(half) is int and half in (0, 1) and type(digests) is bytes and len(digests) == 8 * HALF,
+         "DIGESTS")
     found = tuple(int.from_bytes(digests[at:at + 8], "big") for at in range(0, 8 * HALF, 8))
     return Digests(head_from(epoch, revision, tag, time_ms), half, found)
 
@@ -227,9 +232,10 @@
     return PagesAsk(bucket, place_from(after), pages)
 
 
-def read_page(epoch: Any, revision: Any, bucket: Any, place: Any, after: Any, entries: Any, done: Any) -> Body:
-    need(whole(epoch) and epoch > 0 and whole(revision) and whole(bucket) and bucket < BUCKETS and whole(place)
-         and place < PAGES_MOST and type(entries) is list and type(done) is bool, "PAGE")
+def read_page(epoch: Any, revision: Any, bucket: Any, place: Any, after: Any, entries: Any,
+              done: Any) -> Body:
+    need(whole(epoch) and epoch > 0 and whole(revision) and whole(bucket) and bucket < BUCKETS
+         and whole(place) and place < PAGES_MOST and type(entries) is list and type(done) is bool, "PAGE")
     found = tuple(map(entry_from, entries))
     last = found[-1][:3] if found else None
     begin = place_from(after)
--- a/burlloom/distribution/origin.py
+++ b/burlloom/distribution/origin.py
@@ -7,9 +7,9 @@
 
 def propose(head: Head, scope: str, entries: Sequence[Entry], time_ms: int, key: bytes,
             check: Check | None = None) -> Change:
-    """The change that follows `head`, signed with `key`. `time_ms`: Unix ms. `check`: faults of an entry's meaning.
-    Whoever appends it does so only where `head` is still the last; else it is proposed anew. Raises `Refused` with
-    all faults and their places."""
+    """The change that follows `head`, signed with `key`. `time_ms`: Unix ms. `check`: faults of an entry's
+    meaning. Whoever appends it does so only where `head` is still the last; else it is proposed anew. Raises
+    `Refused` with all faults and their places."""
     found = faults(scope, entries)
     if not found and check is not None:
         found = [f"entries[{at}].{fault}" for at, entry in enumerate(entries) for fault in check(entry)]
--- a/burlloom/distribution/source.py
+++ b/burlloom/distribution/source.py
@@ -1,8 +1,9 @@
-"""The side that is followed: of a control machine, or of a relay (a Follower beside it on the same Copy). No I/O.
+"""The side that is followed: of a control machine, or of a relay (a Follower beside it on the same Copy). No
+I/O.
 
-A host gives it the time (`tick`, once a beat or so) and what datagrams come (`hear`), calls `push` after anything
-that may have moved the copy, and sends what lies in `out`. A change is sealed once for all followers: nothing in it
-is of one of them. Times are ns of a clock that never steps back.
+A host gives it the time (`tick`, once a beat or so) and what datagrams come (`hear`), calls `push` after
+anything that may have moved the copy, and sends what lies in `out`. A change is sealed once for all
+followers: nothing in it is of one of them. Times are ns of a clock that never steps back.
 """
 
 from collections import deque
@@ -12,8 +13,8 @@
 
 from .changes import Change
 from .messages import (
-    HALF, PAGE_BYTES, Body, Bye, Digests, DigestsAsk, Message, Paged, PagesAsk, Pull, Pushed, Redirect, Report,
-    Sender, Told, Unreadable, Window, seal, unseal)
+    HALF, PAGE_BYTES, Body, Bye, Digests, DigestsAsk, Message, Paged, PagesAsk, Pull, Pushed, Redirect,
+    Report, Sender, Told, Unreadable, Window, seal, unseal)
 from .state import Copy
 from .terms import MS, Terms
 
@@ -60,9 +61,10 @@
 class Source:
     """`age`: ms since the copy was surely the newest, at a time; None: never. The first key seals."""
 
-    def __init__(self, copy: Copy, name: str, life: int, keys: tuple[bytes, ...], terms: Terms, chance: Random,
-                 now: int, age: Callable[[int], int | None]) -> None:
-        self.copy, self.name, self.life, self.keys, self.terms, self.chance = copy, name, life, keys, terms, chance
+    def __init__(self, copy: Copy, name: str, life: int, keys: tuple[bytes, ...], terms: Terms,
+                 chance: Random, now: int, age: Callable[[int], int | None]) -> None:
+        self.copy, self.name, self.life, self.keys = copy, name, life, keys
+        self.terms, self.chance = terms, chance
         self.age = age
         self.out: deque[tuple[Address, bytes]] = deque()
         self.counts = Counts()
@@ -193,7 +195,8 @@
         """Who asked, where that is one that follows, and did not ask with that number before."""
         sender = message.sender
         lease = self.followers.get(sender.name)
-        if lease is None or lease.until <= now or lease.life != sender.life or not lease.window.new(sender.number):
+        if (lease is None or lease.until <= now or lease.life != sender.life
+                or not lease.window.new(sender.number)):
             return None
         return lease
 
@@ -207,7 +210,8 @@
             self.tell(now, message.sender.number, lease.address, False)
         for change in changes or ():
             self.counts.pulled += 1
-            self.post(lease.address, self.sealed_of(change, lease.scopes is None or change.scope in lease.scopes))
+            full = lease.scopes is None or change.scope in lease.scopes
+            self.post(lease.address, self.sealed_of(change, full))
         return ""
 
     def digests_asked(self, now: int, message: Message, source: Address) -> str:
@@ -279,13 +283,15 @@
     """For an operator's eyes; plain values."""
     head, counts = source.copy.head, source.counts
     return {
-        "name": source.name, "epoch": head.epoch if head else None, "revision": head.revision if head else None,
+        "name": source.name, "epoch": head.epoch if head else None,
+        "revision": head.revision if head else None,
         "age_ms": source.age(now), "whole": source.copy.whole, "log": len(source.copy.log),
         "followers": len(source.followers), "followers_most": source.terms.followers_most,
-        "behind": sum(1 for lease in source.followers.values() if head and (lease.epoch, lease.revision) < head[:2]),
+        "behind": sum(1 for lease in source.followers.values()
+            if head and (lease.epoch, lease.revision) < head[:2]),
         "counts": {name: getattr(counts, name) for name in counts.__slots__}}
 
 
 HEARD: dict[type[Body], Callable[[Source, int, Message, Address], str]] = {
-    Report: Source.reported, Pull: Source.pulled, DigestsAsk: Source.digests_asked, PagesAsk: Source.pages_asked,
-    Bye: Source.left}
+    Report: Source.reported, Pull: Source.pulled, DigestsAsk: Source.digests_asked,
+    PagesAsk: Source.pages_asked, Bye: Source.left}
