--- a/burlloom/server/__main__.py
+++ b/burlloom/server/__main__.py
@@ -7,16 +7,19 @@
 import socket
 import sys
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from types import FrameType
 
+from ..signals import HEARD, block, unblock
+
 # Before the slow imports: a signal that comes while the program starts waits for its handler, and doesn't end it.
-HEARD = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-signal.pthread_sigmask(signal.SIG_BLOCK, HEARD)
+block()
 
 import uvloop  # noqa: E402
 
 from .assembly import Server  # noqa: E402
 from .configuration import Broken, Orders, read  # noqa: E402
+from .distributing import Distributing  # noqa: E402
 from .fleeting import Fleeting  # noqa: E402
 from .leveling import Leveling  # noqa: E402
 from .logs import set_up  # noqa: E402
@@ -27,12 +30,13 @@
 OPERATOR = "BURLLOOM_OPERATOR"  # the operator's own file; what it does not switch on is not imported
 Fitted = tuple[Orders, Callable[[Server], Keeping] | None, Callable[[Server], Leveling] | None,
                Callable[[Server], Fleeting] | None, Callable[[Server], Recovering] | None,
-               Callable[[Server], Rolling] | None]
+               Callable[[Server], Rolling] | None, Callable[[Server], Distributing] | None]
 
 
 async def serve(listener: socket.socket, fitted: Fitted) -> None:
-    orders, keeping, leveling, fleeting, recovering, rolling = fitted
-    server, loop = Server(orders, listener, keeping, leveling, fleeting, recovering, rolling), asyncio.get_running_loop()
+    orders, keeping, leveling, fleeting, recovering, rolling, distributing = fitted
+    server = Server(orders, listener, keeping, leveling, fleeting, recovering, rolling, distributing)
+    loop = asyncio.get_running_loop()
 
     def heard(number: int, _: FrameType | None) -> None:
         if number == signal.SIGHUP:
@@ -44,7 +48,11 @@
     # what has gone well with another status. Ours stay until the signals are ignored for good.
     for number in HEARD:
         signal.signal(number, heard)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, HEARD)
+    # Its other threads block them for good: libuv's, which it starts at its first look-up (this one asks nobody),
+    # and ours.
+    await loop.getnameinfo(("127.0.0.1", 0), socket.NI_NUMERICHOST | socket.NI_NUMERICSERV)
+    loop.set_default_executor(ThreadPoolExecutor(thread_name_prefix="work", initializer=block))
+    unblock()
     try:
         await server.run()
     finally:
@@ -55,12 +63,12 @@
 def switched_on(orders: Orders, path: str) -> Fitted:
     """What the operator's file asks for. Raises `Broken`, with a line for each fault."""
     from ..operator import Faults
-    from .parts import Refused, fleeted, leveled, load_operator, recorded, recovered, rolled, spanned, stale
+    from .parts import Refused, distributed, fleeted, leveled, load_operator, recorded, recovered, rolled, spanned, stale
     try:
         operator = load_operator(path)
         orders = spanned(operator, stale(operator, orders))
         return orders, recorded(operator, orders), leveled(operator, orders), fleeted(operator, orders), \
-            recovered(operator, orders), rolled(operator, orders)
+            recovered(operator, orders), rolled(operator, orders), distributed(operator, orders)
     except Faults as faults:
         raise Broken("\nburlloom.server: ".join(faults.lines)) from faults
     except Refused as refused:
@@ -82,7 +90,7 @@
     try:
         orders = read()
         listener = bound(orders)
-        fitted: Fitted = orders, None, None, None, None, None
+        fitted: Fitted = orders, None, None, None, None, None, None
         if path := os.environ.get(OPERATOR, ""):
             fitted = switched_on(orders, path)
     except Broken as error:
