Configuration distribution: stories of puts at once, a put that is killed, levels and metrics beside it

Cause: that any control machine may write was shown in one process alone; the levels' shares and metrics by none. Change: two stories with processes. A file's put that is killed leaves a beginning of it, and no revision is missing.

--- a/tests/distribution_rig.py
+++ b/tests/distribution_rig.py
@@ -128,8 +128,11 @@
 
     async def start(self) -> "Node":
         self.operator = {
-            "distribution": {**self.world.part(self.name, self.region, self.folder), **self.more}
+            "distribution": {**self.world.part(self.name, self.region, self.folder), **self.more},
+            **self.world.parts,
         }
+        if "metrics" in self.operator:
+            self.operator["metrics"] = {**self.operator["metrics"], "file": str(self.folder / "metrics")}
         await self.__aenter__()
         self.working.append(asyncio.create_task(self.work()))
         return self
@@ -168,9 +171,11 @@
 
 
 class World:
-    """`postgres`: the store is the stand-in for PostgreSQL; else one SQLite file."""
+    """`postgres`: the store is the stand-in for PostgreSQL; else one SQLite file. `parts`: further ones of the
+    servers' operator file."""
 
-    def __init__(self, folder: Path, postgres: bool = False) -> None:
+    def __init__(self, folder: Path, postgres: bool = False, parts: dict[str, Any] | None = None) -> None:
+        self.parts = parts or {}
         self.folder, self.relay, self.doors = folder, Relay(), dict[str, str]()
         self.postgres = Postgres(folder) if postgres else None
         self.catalogue = Catalogue(self.reply)
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -7,15 +7,18 @@
 import asyncio
 import hashlib
 import json
+import re
 import secrets
 import signal
 import socket
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 from distribution_rig import KEY, SIGNING, World, patiently, tenant, without
+from rig import ROOT, soon
 from test_command import burlloom
 
 from burlloom.operator import Faults, load
@@ -35,14 +38,19 @@
 
 
 def world(
-    control: int, servers: int, regions: tuple[str, ...] = ("north",), postgres: bool = False, **more: Any
+    control: int,
+    servers: int,
+    regions: tuple[str, ...] = ("north",),
+    postgres: bool = False,
+    parts: dict[str, Any] | None = None,
+    **more: Any,
 ) -> Callable[[Callable[[World], Awaitable[None]]], Callable[[Path], None]]:
     """Makes a test of a story told with so many, all of which have what was put first."""
 
     def wrap(story: Callable[[World], Awaitable[None]]) -> Callable[[Path], None]:
         def test(tmp_path: Path) -> None:
             async def play() -> None:
-                async with World(tmp_path, postgres) as made:
+                async with World(tmp_path, postgres, parts) as made:
                     await made.control(control, regions)
                     await made.put(*BASE)
                     await made.add(servers, regions, **more)
@@ -266,6 +274,71 @@
     made.relay.heal()
 
 
+@world(2, 2)
+async def test_two_put_at_once_and_one_is_killed(made: World) -> None:
+    """Each revision is written once, whoever writes; of a file whose put is killed a beginning was taken."""
+    files = []
+    for name, count in (("one", 300), ("two", 300), ("three", 1500)):
+        files.append(made.folder / f"{name}.jsonl")
+        files[-1].write_text("".join(json.dumps(tenant(f"{name}-{n}")) + "\n" for n in range(count)))
+    before = made.head()[1]
+
+    async def put(file: Path, by: int) -> asyncio.subprocess.Process:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "burlloom.command",
+            "distribution",
+            "put",
+            str(file),
+            "-o",
+            str(made.machines[by].folder / "operator.jsonnet"),
+            cwd=ROOT,
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+
+    first, second, killed = await asyncio.gather(put(files[0], 0), put(files[1], 1), put(files[2], 0))
+
+    def taken(name: str) -> int:
+        ((count,),) = made.rows(
+            f"SELECT count(*) FROM distribution_entry WHERE CAST(key AS TEXT) GLOB '{name}-*'"
+        )
+        return int(count)
+
+    await patiently(lambda: taken("three") > 10)
+    killed.kill()
+    await killed.wait()
+    assert await soon(first.wait()) == 0 == await soon(second.wait())
+    assert taken("one") == taken("two") == 300
+    part = taken("three")
+    assert 10 < part < 1500
+    assert made.head()[1] == before + 600 + part
+    revisions = [one for (one,) in made.rows("SELECT revision FROM distribution_change ORDER BY revision")]
+    assert revisions == list(range(1, made.head()[1] + 1))
+    for name, count in (("one", 300), ("two", 300), ("three", part)):
+        made.model.update({("", "tenant", f"{name}-{n}"): {} for n in range(count)})
+
+
+@world(1, 1, parts={"levels": {}, "metrics": {"every_ms": 200}})
+async def test_levels_and_metrics_know_of_it(made: World) -> None:
+    """Reads are held against the shares of the table; what is in force stands in the metrics."""
+    node = made.nodes[0]
+    for _ in range(20):
+        assert await node.serves("blue") and not await node.serves("nobody")
+    await made.put(without("blue"))
+    await made.reaches()
+    assert not await node.serves("blue") and await node.serves("acme")
+    revision, text = made.head()[1], node.folder / "metrics"
+    await patiently(
+        lambda: f"burlloom_distribution_revision {float(revision)}\n" in text.read_text(), text.read_text
+    )
+    said = text.read_text()
+    assert "burlloom_distribution_in_force 1.0" in said and "burlloom_distribution_tenants 2.0" in said
+    assert "burlloom_levels_level" in said and "burlloom_distribution_taken_total 1.0" in said
+    (age,) = re.findall(r"^burlloom_distribution_age_seconds (\S+)$", said, re.MULTILINE)
+    assert 0 <= float(age) < 5
+
+
 @world(2, 3)
 async def test_letters_lost_late_doubled_and_played_again(made: World) -> None:
     made.relay.loss, made.relay.doubles, made.relay.delay = 0.05, 0.2, (0.0, 0.03)
