Configuration distribution: a server that waits for its first sync leaves at once when told

Cause: nothing showed that a notice is heard while a server waits for what is to be in force. Change: a story of it; a control machine passes over SIGHUP, which ended it. At first the story also wanted that the server never listens: it may, for the moment in which it leaves, as at any start that is told to leave. Conclusion: with distribution off the server is as it was; tests/test_rollout_processes.py was not run here.

--- a/burlloom/command/distribution.py
+++ b/burlloom/command/distribution.py
@@ -99,6 +99,7 @@
         )
         if exposed is not None:
             exposed.numbers("burlloom_distribution", control.metrics, control.gauges)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # files are looked at each second anyway
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, control.stop)
         await control.run()
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -159,6 +159,20 @@
     assert await node.serves("blue")
 
 
+@world(1, 0)
+async def test_a_server_that_waits_for_its_first_sync_can_leave(made: World) -> None:
+    made.relay.cut({"n0"}, {"c0"})
+    with pytest.raises(AssertionError):  # it leaves before it is ready
+        starting = asyncio.create_task(made.add(1, wait_ms=60_000))
+        log = made.folder / "n0" / "log"
+        await patiently(lambda: log.exists() and "event=distribution-open" in log.read_text())
+        made.nodes[0].signal(signal.SIGTERM)
+        await starting
+    node = made.nodes.pop()
+    assert await soon(node.process.wait()) == 0, node.log()
+    assert "event=stopped" in node.log() and "level=error" not in node.log()
+
+
 @world(3, 4)
 async def test_a_control_machine_is_killed_and_another_stands_still(made: World) -> None:
     """Their followers go to another; changes go on meanwhile. What was asleep wakes, and misses nothing."""
