--- a/burlloom/lab/hollow.py
+++ b/burlloom/lab/hollow.py
@@ -256,8 +256,11 @@
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
 
     def say(self, what: str, **told: Any) -> None:
-        self.out.write(json.dumps({"is": what, **told}) + "\n")
-        self.out.flush()
+        try:
+            self.out.write(json.dumps({"is": what, **told}) + "\n")
+            self.out.flush()
+        except BrokenPipeError:
+            self.ended.set()  # nobody is there any more
 
     def record(self, at: int, name: str, what: str, *told: Any) -> None:
         if self.file is not None:
