--- /dev/null
+++ b/benchmarks/scale_request.py
@@ -0,0 +1,417 @@
+"""What the way of a request costs by requests a second, and what it costs while the server does something for control.
+
+    python benchmarks/scale.py request                    # without calls below, some two minutes
+    python benchmarks/scale.py request --calls
+    python benchmarks/scale.py request --harness          # no server: what generator and loopback add by themselves
+    python benchmarks/scale.py during reload              # p99 and the longest answer around a change, by tenants
+    python benchmarks/scale.py during rejoin              # around a rejoin of the member, by members
+    python benchmarks/scale.py deal                       # while it deals, by members; --plain: while another does
+
+Open loop: Poisson arrivals from a seed, latency from the intended moment, in an HDR histogram. Latency wants a machine
+at rest: each line says its load, and a row from a busy machine says so. Processor time counts then too.
+"""
+
+import asyncio
+import os
+import re
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, replace
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, Protocol
+
+import click
+import uvloop
+from rich.progress import track
+
+sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent / "tests")]
+
+from hollow_members import HOUR_MS, hollow, part_of  # noqa: E402
+from processes import ADDED_MS, TOLD, machine, main_thread_ns, numbers, passed_at, quiet, told, whole  # noqa: E402
+from rig import Rig  # noqa: E402
+from scale_configuration import tenants  # noqa: E402
+from traffic import SECOND, Load, Runs, Sent, Told, below, echo, generate, started, told_of  # noqa: E402
+
+from burlloom.lab.slopes import KEPT, Row  # noqa: E402
+
+RATES = "50,100,200,300,500,700,1000"
+SETTLE = 1.0  # s of idleness, connections open, against which processor time is told
+
+
+@dataclass(frozen=True, slots=True)
+class Played:
+    """Of one run. `cpu`: processor time of the server's loop, ms a request, less what it takes at rest."""
+
+    sent: list[Sent]
+    own: dict[str, int]  # ns that the stand-ins had each
+    begin: int
+    cpu: float
+    idle: float  # ms/s at rest
+    used: float  # ms/s in all
+    load: float
+    quiet: bool
+    moments: list[int]  # of events
+
+
+class Happening(Protocol):
+    """What is done to a server under load."""
+
+    def prepare(self, rig: Rig) -> None:
+        """Before it starts."""
+    async def ready(self, rig: Rig) -> None:
+        """Before the load."""
+    async def happens(self, rig: Rig, first: int) -> list[int]:
+        """Told when the count begins; gives the moments."""
+
+
+async def played(load: Load, what: Happening | None = None) -> Played:
+    """One real server between stand-ins, under a load."""
+    async with AsyncExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        told_calls = None
+        catalogue: Any = None
+        if load.call is not None:
+            calls, told_calls = started(below, load.call)
+            stack.callback(calls.kill)
+            catalogue = SimpleNamespace(address=await asyncio.to_thread(told_calls.recv))
+        rig = Rig(folder, n_cores=32, memory_kb=400000, calls_out=500.0, drain_grace=0, stop_ms=1500,
+                  catalogue=catalogue)
+        runs = Runs(rig.executor, load)
+        rig.executor.commands = runs  # type: ignore[assignment]
+        if what is not None:
+            what.prepare(rig)
+        await stack.enter_async_context(rig)
+        pid = rig.process.pid
+        if what is not None:
+            await what.ready(rig)
+        generator, pipe = started(generate, rig.address, load)
+        stack.callback(generator.kill)
+        await asyncio.to_thread(pipe.recv)
+        before, since = main_thread_ns(pid), time.monotonic_ns()
+        await asyncio.sleep(SETTLE)
+        idle = (main_thread_ns(pid) - before) / (time.monotonic_ns() - since)
+        begin = time.monotonic_ns() + SECOND // 5
+        pipe.send(begin)
+        first, last = begin + int(load.warm * SECOND), begin + int((load.warm + load.seconds) * SECOND)
+        await rest(first)
+        happening = asyncio.create_task(what.happens(rig, first)) if what is not None else None
+        before, since = main_thread_ns(pid), time.monotonic_ns()
+        loads = [os.getloadavg()[0]]
+        await rest(last)
+        spent, span = main_thread_ns(pid) - before, time.monotonic_ns() - since
+        loads.append(os.getloadavg()[0])
+        moments = await happening if happening is not None else []
+        sent: list[Sent] = await asyncio.to_thread(pipe.recv)
+        generator.join(10)
+        own = dict(runs.own)
+        if told_calls is not None:
+            told_calls.send("over")
+            for id, had in (await asyncio.to_thread(told_calls.recv)).items():
+                own[id] = own.get(id, 0) + had
+            calls.join(10)
+        count = sum(first <= one.intended < last for one in sent)
+        return Played(sent, own, first, (spent - idle * span) / max(1, count) / 1e6, 1000 * idle, 1000 * spent / span,
+                      max(loads), quiet(), moments)
+
+
+async def rest(until: int) -> None:
+    await asyncio.sleep(max(0, until - time.monotonic_ns()) / SECOND)
+
+
+async def harness(load: Load) -> Told:
+    """The same load on a process that answers at once."""
+    process, ours = started(echo)
+    generator, pipe = started(generate, await asyncio.to_thread(ours.recv), load)
+    try:
+        await asyncio.to_thread(pipe.recv)
+        begin = time.monotonic_ns() + SECOND // 5
+        pipe.send(begin)
+        return told_of(await asyncio.to_thread(pipe.recv), {}, begin + int(load.warm * SECOND))
+    finally:
+        for one in (generator, process):
+            one.kill()
+            one.join(10)
+
+
+def common(command: Callable[..., None]) -> Callable[..., None]:
+    for option in (
+        click.option("--dry", is_flag=True, help="Keeps no rows."),
+        click.option("--to", default=KEPT, type=click.Path(dir_okay=False, path_type=Path), help="The file of rows."),
+        click.option("--seed", default=1, show_default=True),
+    ):
+        command = option(command)
+    return command
+
+
+@click.command()
+@click.option("--rates", default=RATES, show_default=True, callback=numbers, help="Requests a second.")
+@click.option("--seconds", default=10.0, show_default=True, type=click.FloatRange(0.2, 120), help="Of each rate.")
+@click.option("--calls", is_flag=True, help="Each run makes one call below.")
+@click.option("--harness", "bare", is_flag=True, help="No server: what is measured by the harness alone.")
+@common
+def request(rates: tuple[int, ...], seconds: float, calls: bool, bare: bool, seed: int, dry: bool, to: Path) -> None:
+    """One real server at several rates."""
+    place = None if dry else to
+    command = (f"python benchmarks/scale.py request --rates {','.join(map(str, rates))} --seconds {seconds:g}"
+               f" --seed {seed}" + " --calls" * calls + " --harness" * bare)
+    found: list[Told] = []
+    plays: list[Played] = []
+    for rate in track(rates, "request", console=TOLD):
+        load = Load(rate, seconds, warm=min(2.0, seconds), seed=seed, call=0.01 if calls else None)
+        if bare:
+            found.append(uvloop.run(harness(load)))
+            TOLD.print(f"{rate} a second: {found[-1]}")
+            continue
+        play = uvloop.run(played(load))
+        plays.append(play)
+        found.append(told_of(play.sent, play.own, play.begin))
+        TOLD.print(f"{rate} a second: {play.cpu:.3f} ms of processor time a request, {play.used:.0f} ms/s in all,"
+                   f" {play.idle:.1f} at rest; load {play.load:.1f}; {found[-1]}")
+    kind = " with calls" if calls else ""
+    here = (f"one real server between stand-ins in processes of their own on loopback, {machine()}; runs of 5 ms"
+            + (" and one call below of 10 ms each" if calls else ", no calls below") + "; one class, read-only")
+
+    def row(name: str, unit: str, values: list[float], note: str) -> None:
+        told(Row(name, "requests a second", unit, "churn", tuple(map(float, rates)), tuple(values), command,
+                 f"{note}; {here}"), place)
+    if bare:
+        row("request p99 harness", "ms", [one.p99 for one in found], "from the intended moment, with no server between")
+        return
+    row(f"request cpu{kind}", "ms", [play.cpu for play in plays],
+        "processor time of the loop's thread a request, less what it takes at rest")
+    about = (f"{busy(plays)}from the intended moment, less what the stand-ins had the request; reading of commands by the"
+             f" stand-ins and the generator's own lateness (p99 {max(one.late_p99 for one in found):.2f} ms at most) are in it;"
+             f" load of each {', '.join(f'{play.load:.1f}' for play in plays)}; not settled: "
+             f"{unsettled(found)}")
+    row(f"request p50 added{kind}", "ms", [one.p50 for one in found], about)
+    row(f"request p99 added{kind}", "ms", [one.p99 for one in found], about)
+    ends = passed_at(rates, [one.p99 for one in found], ADDED_MS, 1e5)
+    first = next((rate for rate, one in zip(rates, found, strict=True) if one.p99 > ADDED_MS), None)
+    click.echo(f"{ADDED_MS} ms added at the 99th percentile: first passed of those measured at {first or 'none'}, by the"
+               f" fit at {'none' if ends is None else f'{ends:.0f}'} a second")
+    ends = passed_at(rates, [play.used for play in plays], 1000.0, 1e5)
+    click.echo(f"a whole core is passed at {'none' if ends is None else f'{ends:.0f}'} a second")
+
+
+# While the server does something for control.
+
+BEFORE, AFTER = SECOND // 4, SECOND * 3 // 4  # around a moment
+APART = 2 * SECOND  # from a moment to one without anything
+SETTLED = 2.5  # s from the beginning to the first moment
+CUT = 6.0  # s: until the others have buried who is cut off
+HOLLOW_MOST = 100  # members in one process
+TENANTS, MEMBERS = "10000,30000,100000,200000,430000", "10,30,100,200,300"
+
+
+def windows(play: Played, moments: Sequence[int]) -> Told:
+    """All requests that were to be sent around these."""
+    near = [one for one in play.sent if any(at - BEFORE <= one.intended < at + AFTER for at in moments)]
+    return told_of(near, play.own)
+
+
+class Reloads:
+    """The server reads its file anew, `times` times, `gap` s apart."""
+
+    by = "tenants"
+
+    def __init__(self, count: int, times: int, gap: float) -> None:
+        self.count, self.times, self.gap = count, times, gap
+        self.seconds = SETTLED + times * gap
+        self.beside = APART  # before each moment nothing happens
+
+    async def __aenter__(self) -> "Reloads":
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        pass
+
+    def prepare(self, rig: Rig) -> None:
+        rig.told["settings"]["tenants"] = tenants(self.count)
+
+    async def ready(self, rig: Rig) -> None:
+        pass
+
+    async def happens(self, rig: Rig, first: int) -> list[int]:
+        found = []
+        for turn in range(self.times):
+            await rest(first + int((SETTLED + turn * self.gap) * SECOND))
+            found.append(time.monotonic_ns())
+            rig.process.send_signal(signal.SIGHUP)
+        return found
+
+
+class Members(Reloads):
+    """The server is one of `count` members, all others hollow. `deals`: by its life it is the one that deals."""
+
+    by = "members"
+
+    def __init__(self, count: int, times: int, gap: float, deals: bool = False) -> None:
+        super().__init__(count, times, gap)
+        self.deals = deals
+        self.processes: list[tuple[Any, Any]] = []
+
+    async def __aenter__(self) -> "Members":
+        self.folder = tempfile.TemporaryDirectory()
+        folder = Path(self.folder.name)
+        life = time.time_ns() // 1_000_000 + (HOUR_MS if self.deals else -HOUR_MS)
+        names = [f"h{at:04d}" for at in range(self.count - 1)]
+        for at in range(0, len(names), HOLLOW_MOST):
+            part = part_of(folder, self.count, [])
+            self.processes.append(started(hollow, names[at:at + HOLLOW_MOST], life + at, part))
+        told_all = [one for _, pipe in self.processes for one in await asyncio.to_thread(pipe.recv)]
+        for _, pipe in self.processes:
+            pipe.send(told_all)
+            assert await asyncio.to_thread(pipe.recv) == "up"
+        self.part = part_of(folder, self.count, [address for _, address, _ in told_all[:4]])
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for process, pipe in self.processes:
+            process.kill()
+            process.join(10)
+            pipe.close()
+        self.folder.cleanup()
+
+    def prepare(self, rig: Rig) -> None:
+        rig.operator = {"fleet": self.part}
+
+    def tell(self, *words: str) -> None:
+        for _, pipe in self.processes:
+            pipe.send(words)
+
+    async def ready(self, rig: Rig) -> None:
+        """Until it knows all and all know it, and who deals."""
+        self.tell("real", re.findall(r"event=fleet-open .* address=(\S+)", rig.log())[-1])
+        async with asyncio.timeout(60):
+            while not await self.agreed(rig.name):
+                await asyncio.sleep(0.2)
+
+    async def seen(self) -> tuple[bool, list[tuple[str, int]]]:
+        """Whether the server's view is that of others; by each hollow member, who deals, and how many are there."""
+        self.tell("see")
+        found = [await asyncio.to_thread(pipe.recv) for _, pipe in self.processes]
+        return any(same for same, _ in found), [one for _, members in found for one in members]
+
+    async def agreed(self, name: str) -> bool:
+        same, members = await self.seen()
+        return same and all((dealt_by == name) is self.deals and there == self.count for dealt_by, there in members)
+
+
+class Rejoins(Members):
+    """It is cut off for so long that it is taken for dead, and healed: that is the moment."""
+
+    def __init__(self, count: int, times: int, gap: float) -> None:
+        super().__init__(count, times, gap)
+        self.beside = int((CUT + 1) * SECOND)  # before the cut
+        self.seconds = SETTLED + times * (CUT + gap)
+        self.buried: list[float] = []  # share of the others to whom it was gone when it was healed
+
+    async def happens(self, rig: Rig, first: int) -> list[int]:
+        found = []
+        for turn in range(self.times):
+            await rest(first + int((SETTLED + turn * (CUT + self.gap)) * SECOND))
+            self.tell("cut")
+            await asyncio.sleep(CUT)
+            self.buried.append(sum(there < self.count for _, there in (await self.seen())[1]) / (self.count - 1))
+            found.append(time.monotonic_ns())
+            self.tell("heal")
+        return found
+
+
+async def happened(load: Load, what: Reloads) -> Played:
+    async with what:
+        return await played(replace(load, seconds=what.seconds), what)
+
+
+@click.command()
+@click.argument("what", type=click.Choice(["reload", "rejoin"]))
+@click.option("--sizes", default="", help="Tenants of a reload, members of a rejoin.")
+@click.option("--rate", default=300, show_default=True, type=click.IntRange(1, 5000), help="Requests a second.")
+@click.option("--times", default=3, show_default=True, type=click.IntRange(1, 20), help="That it happens.")
+@click.option("--gap", default=6.0, show_default=True, type=click.FloatRange(1.5, 60), help="s between them.")
+@common
+def during(what: str, sizes: str, rate: int, times: int, gap: float, seed: int, dry: bool, to: Path) -> None:
+    """p99 and the longest answer around what a server does for control, against the same without."""
+    kind: type[Reloads] = {"reload": Reloads, "rejoin": Rejoins}[what]
+    counts = whole(sizes or (TENANTS if kind is Reloads else MEMBERS))
+    command = (f"python benchmarks/scale.py during {what} --sizes {','.join(map(str, counts))} --rate {rate}"
+               f" --times {times} --gap {gap:g} --seed {seed}")
+    near: list[Told] = []
+    beside: list[Told] = []
+    plays: list[Played] = []
+    gone: list[float] = []
+    for count in track(counts, what, console=TOLD):
+        happening = kind(count, times, gap)
+        play = uvloop.run(happened(Load(rate, 0, connections=128, seed=seed), happening))
+        plays.append(play)
+        near.append(windows(play, play.moments))
+        if isinstance(happening, Rejoins):
+            gone.append(min(happening.buried))
+        beside.append(windows(play, [at - happening.beside for at in play.moments]))
+        TOLD.print(f"{count}: load {play.load:.1f}\n  around: {near[-1]}\n  beside: {beside[-1]}")
+    here = (f"{busy(plays)}requests that were to be sent from a quarter of a second before to three quarters after,"
+            f" {times} times at {rate} a second, no calls below; {between(plays)}; not settled: {unsettled(near)}"
+            + ("" if kind is Reloads else f"; the other members are hollow, the server was cut off for {CUT:g} s before,"
+               f" and gone to {', '.join(f'{100 * one:.0f}%' for one in gone)} of them when it was healed"))
+    for name, values, note in (
+        (f"request p99 added in a {what}", [one.p99 for one in near], "added, as without"),
+        (f"request longest in a {what}", [one.longest for one in near], "the longest of all answers"),
+        (f"request p99 added beside a {what}", [one.p99 for one in beside], "the same spans, earlier, without"),
+        (f"request longest beside a {what}", [one.longest for one in beside], "the same spans, earlier, without"),
+    ):
+        told(Row(name, kind.by, "ms", "churn", tuple(map(float, counts)), tuple(values), command, f"{note}; {here}"),
+             None if dry else to)
+    first = next((count for count, one in zip(counts, near, strict=True) if one.p99 > ADDED_MS), None)
+    click.echo(f"{ADDED_MS} ms added at the 99th percentile around a {what}: first passed of those measured at"
+               f" {first or 'none'}")
+
+
+@click.command()
+@click.option("--sizes", default=MEMBERS, show_default=True, callback=numbers, help="Members.")
+@click.option("--rate", default=300, show_default=True, type=click.IntRange(1, 5000), help="Requests a second.")
+@click.option("--seconds", default=8.0, show_default=True, type=click.FloatRange(0.2, 120), help="Of each size.")
+@click.option("--plain", is_flag=True, help="Another deals: the server is a member as all.")
+@common
+def deal(sizes: tuple[int, ...], rate: int, seconds: float, plain: bool, seed: int, dry: bool, to: Path) -> None:
+    """p99 of requests at a server that deals the calls below to all members, or at a plain one."""
+    command = (f"python benchmarks/scale.py deal --sizes {','.join(map(str, sizes))} --rate {rate}"
+               f" --seconds {seconds:g} --seed {seed}" + " --plain" * plain)
+    found: list[Told] = []
+    plays: list[Played] = []
+    for count in track(sizes, "deal", console=TOLD):
+        happening = Members(count, 0, 0.0, deals=not plain)
+        happening.seconds = seconds
+        play = uvloop.run(happened(Load(rate, 0, connections=32, seed=seed), happening))
+        plays.append(play)
+        found.append(told_of(play.sent, play.own, play.begin))
+        TOLD.print(f"{count} members: {play.idle:.1f} ms/s without requests, {play.used:.0f} with;"
+                   f" load {play.load:.1f}; {found[-1]}")
+    who = "as a member" if plain else "while it deals"
+    here = (f"{busy(plays)}{rate} requests a second, no calls below; the other members are hollow; {between(plays)};"
+            f" not settled: {unsettled(found)}")
+    for name, unit, values, note in (
+        (f"request p99 added {who}", "ms", [one.p99 for one in found], "added, as without a fleet"),
+        (f"request longest {who}", "ms", [one.longest for one in found], "the longest of all answers"),
+        (f"request idle cpu {who}", "ms/s", [play.idle for play in plays],
+         "processor time of the loop's thread before the first request: the fleet's part and what any server does"),
+    ):
+        told(Row(name, "members", unit, "rest", tuple(map(float, sizes)), tuple(values), command, f"{note}; {here}"),
+             None if dry else to)
+
+
+def busy(plays: list[Played]) -> str:
+    return "" if all(play.quiet for play in plays) else "BUSY machine, latency counts for nothing; "
+
+
+def between(plays: list[Played]) -> str:
+    return (f"one real server between stand-ins on loopback, {machine()}; load of each"
+            f" {', '.join(f'{play.load:.1f}' for play in plays)}")
+
+
+def unsettled(found: list[Told]) -> str:
+    return ", ".join(str(sum(n for how, n in one.how.items() if how != "settled")) for one in found)
--- a/burlloom/distribution/follower.py
+++ b/burlloom/distribution/follower.py
@@ -31,7 +31,7 @@
 EARLY_MOST = 256  # changes that wait for those before them, the earliest; 280 KB at most
 FOLD_MOST = 65_536  # keys that change while a sync runs: at four changes a second that is hours
 PUT_MOST = 64  # entries at once, of what was folded
-FETCH_MOST = 4  # buckets that are fetched at once, of PAGES_MOST pages each
+FETCH_MOST = 16  # buckets that are fetched at once, of PAGES_MOST pages each
 REPORTS_MOST = 4  # that may still be answered
 WORDS_MOST = 8  # of an upstream's age, for revisions that are still to come
 REFUSED_MOST = 3  # changes in a row that don't follow: then another upstream is asked
@@ -247,8 +247,9 @@
 
     def look_around(self, now: int) -> None:
         """A report to one of the better upstreams, each in turn; to any where the own one has old news."""
-        self.probe_at = now + self.jittered(self.terms.prefer if not self.poor() else self.terms.beat)
         most = len(self.upstreams) if self.poor() else self.at
+        self.probe_at = now + self.jittered(self.terms.beat if self.poor() else
+            max(self.terms.beat, self.terms.prefer // max(1, most)))
         if not most or not self.answered or self.sync is not None:
             return
         self.probe_last = (self.probe_last + 1) % most
