Record's file: the same wait for its lock, and a busy file is not called damaged

Cause: the record's SQLite file can hold the rollout's book too, and is written by commands.

Change: each transaction of the record begins by `Turns`, as do its reads outside of one; a start that can't have the lock says who has it. An operator's verdict is noted as looked at only once it was read.

New test, on a clock of its own: a batch finds the lock taken a hundred times and is written; past 2 s it is surely lost, and can be written later; a start is refused with that reason, and taken up once the lock is free.

--- a/burlloom/record/sqlite.py
+++ b/burlloom/record/sqlite.py
@@ -24,7 +24,7 @@
 from .rows import BEGUN, Kind, Row, Word, Write, answer, of_finish, of_withdraw
 from .seal import Sealer
 from .store import Done, Opened, Refused, Verdicts, deliver
-from .turns import WAIT, Turns
+from .turns import WAIT, Turns, taken
 
 log = logging.getLogger(__name__)
 
@@ -105,7 +105,7 @@
 
 def migrate(db: sqlite3.Connection, path: Path, turns: Turns | None = None) -> tuple[int, ...]:
     """The steps taken. Each looks anew under the lock: several processes may open one file at once."""
-    taken: list[int] = []
+    done: list[int] = []
     turns = turns or Turns()
     while True:
         turns.take(lambda: db.execute("BEGIN IMMEDIATE"))
@@ -116,12 +116,12 @@
                               " start the newer program, or restore a snapshot of the older one")
             left = schema.steps(have, schema.SQLITE)
             if not left:
-                return tuple(taken)
+                return tuple(done)
             for statement in schema.SQLITE[left[0]]:
                 db.execute(statement)
             db.execute(f"PRAGMA user_version = {left[0]}")
             db.execute("COMMIT")
-            taken.append(left[0])
+            done.append(left[0])
         finally:
             if db.in_transaction:
                 db.execute("ROLLBACK")
@@ -148,6 +148,7 @@
         self.free_pages = False
         self.look_at = 0.0
         self.verdicts: Verdicts | None = None
+        self.turns = Turns()
 
     # Opening.
 
@@ -157,11 +158,14 @@
     def open_now(self) -> Opened:
         self.take_lock()
         try:
-            self.db = connect(self.path, self.pages)
-            migrated = migrate(self.db, self.path)
+            self.db = connect(self.path, self.pages, self.turns)
+            migrated = migrate(self.db, self.path, self.turns)
             return self.begin_life(self.db, migrated)
         except sqlite3.DatabaseError as error:
             self.release()
+            if taken(error):
+                raise Refused(f"{self.path}: another process has held its lock for {self.turns.wait:g} s; start again"
+                              " once that has ended") from error
             raise Refused(f"{self.path}: {error}; the file is damaged or is no record. Nothing was changed: look at"
                           f" it with `burlloom record verify`, or restore a snapshot") from error
         except Refused:
@@ -194,10 +198,10 @@
 
     def begin_life(self, db: sqlite3.Connection, migrated: tuple[int, ...]) -> Opened:
         now = self.tick()
-        told = dict(db.execute("SELECT name, value FROM meta").fetchall())
+        told = dict(self.turns.take(lambda: db.execute("SELECT name, value FROM meta").fetchall()))
         then = Tick(told["boot"], int(told["steady"]), int(told["wall"])) if "wall" in told else None
         self.shift = shift(then, now)
-        db.execute("BEGIN IMMEDIATE")
+        self.begin(db)
         if self.shift > 0:
             # Windows are kept by the wall clock: it went ahead, so their ends go along. The rows say so of
             # themselves from now on, or a further life would end them too early.
@@ -212,6 +216,10 @@
         db.execute("COMMIT")
         return Opened(self.node, self.life, self.shift, migrated, int(told.get("closed_until", 0)), note)
 
+    def begin(self, db: sqlite3.Connection) -> None:
+        """A transaction that has the lock from its start: none of its statements waits for it."""
+        self.turns.take(lambda: db.execute("BEGIN IMMEDIATE"))
+
     @staticmethod
     def note_tick(db: sqlite3.Connection, now: Tick) -> None:
         db.executemany("INSERT INTO meta (name, value) VALUES (?, ?) ON CONFLICT (name) DO UPDATE SET"
@@ -247,7 +255,7 @@
         def work() -> None:
             try:
                 assert self.db is not None
-                self.db.execute("BEGIN IMMEDIATE")
+                self.begin(self.db)
                 self.note_tick(self.db, self.tick())
                 self.prune(time.time_ns())
                 self.db.execute("COMMIT")
@@ -263,8 +271,9 @@
     def note(self, text: str) -> None:
         def work() -> None:
             try:
-                assert self.db is not None
-                self.db.execute("UPDATE node SET note = ? WHERE name = ? AND life = ?", (text, self.node, self.life))
+                assert (db := self.db) is not None
+                self.turns.take(lambda: db.execute("UPDATE node SET note = ? WHERE name = ? AND life = ?",
+                                                   (text, self.node, self.life)))
             except sqlite3.Error as error:
                 log.warning("event=record-note-failed detail=%r", str(error))
         self.posted.append(work)
@@ -314,7 +323,7 @@
         assert db is not None
         committing = False
         try:
-            db.execute("BEGIN IMMEDIATE")
+            self.begin(db)
             words = self.apply_all(db, [write for write, _ in batch])
             now = time.time_ns()
             if now >= self.prune_at:
@@ -402,7 +411,8 @@
         """Free pages go back to the disk, some at a time."""
         self.free_pages = False
         try:
-            db.executescript(f"PRAGMA incremental_vacuum({GIVE_BACK_PAGES})")  # `execute` takes one step of it: a page
+            # `execute` takes one step of it: a page.
+            self.turns.take(lambda: db.executescript(f"PRAGMA incremental_vacuum({GIVE_BACK_PAGES})"))
         except sqlite3.Error as error:
             log.warning("event=record-vacuum-failed detail=%r", str(error))
 
@@ -412,11 +422,12 @@
             return
         self.look_at = time.monotonic() + LOOK_EVERY
         try:
-            (version,) = db.execute("PRAGMA data_version").fetchone()
+            (version,) = self.turns.take(lambda: db.execute("PRAGMA data_version").fetchone())
             if version == self.version or self.verdicts is None:
                 return
+            said = self.turns.take(lambda: db.execute("SELECT mark, life, turn, ran FROM verdict").fetchall())
             self.version = version
-            for mark, life, turn, ran in db.execute("SELECT mark, life, turn, ran FROM verdict").fetchall():
+            for mark, life, turn, ran in said:
                 self.hand(partial(self.verdicts, mark, life, turn, bool(ran)))
         except sqlite3.Error as error:
             log.warning("event=record-look-failed detail=%r", str(error))
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -10,6 +10,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from test_rollout_stores import Held
 
 from burlloom.record.admin import Admin
 from burlloom.record.store import Refused
@@ -406,3 +407,31 @@
         key(path, False)
     with pytest.raises(OSError):
         key(tmp_path / "none", False)
+
+
+def test_the_record_waits_for_the_lock_as_the_book_does(tmp_path: Path) -> None:
+    """A batch finds it taken a hundred times and is written; past its time it surely was not; nor does a start take
+    a file that is busy for one that is damaged."""
+    async def play() -> None:
+        path = tmp_path / "record.db"
+        store = Sqlite(path, SEALER, "n1")
+        await store.open()
+        await store.start()
+        held = Held(path, 1.9)
+        store.turns = held.turns()
+        assert await Log(store).ask(claim()) == [Word(Input.HELD)] and held.looks >= 100
+        held = Held(path, 9.0)
+        store.turns = held.turns()
+        assert await Log(store).ask(finish()) == [Word(Input.LOST)] and 2.0 <= held.now < 2.1
+        held.db.execute("ROLLBACK")
+        assert await Log(store).ask(finish()) == [Word(Input.HELD)]
+        await store.close()
+        again, held = Sqlite(path, SEALER, "n1"), Held(path, 9.0)
+        again.turns = held.turns()
+        with pytest.raises(Refused, match="record.db: another process has held its lock for 2 s"):
+            await again.open()
+        held.until, held.now = 1.9, 0.0
+        again.turns = held.turns()
+        assert (await again.open()).life == 2 and held.looks >= 100
+        await again.close()
+    asyncio.run(play())
