Scale run: beat, pace of the start and load as options; what the run itself uses is printed

Cause: a machine that others use as well has a core to spare, not five. Change: options, as an operator's file has the beat.

--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -31,7 +31,7 @@
 from scale_checker import SECOND, Budget, Checker, digest_of  # noqa: E402
 from scale_real import Below, Real, ready  # noqa: E402
 
-from burlloom.distribution import Entry, propose  # noqa: E402
+from burlloom.distribution import Entry, Terms, propose  # noqa: E402
 from burlloom.distribution.stores.sqlite import Sqlite  # noqa: E402
 from burlloom.lab.distances import ZONES, Place, laid_out, place  # noqa: E402
 from burlloom.lab.rules import Rules  # noqa: E402
@@ -72,6 +72,8 @@
     short: bool
     only: tuple[str, ...] = ()
     fleet: int = 24  # of a zone, that share out calls below with the real ones
+    beat: float = 1.0  # s, between reports; all other spans of following go with it, as in the operator's file
+    begin: int = 700  # servers that begin in a second
     asked: float = 30.0  # requests a second to each real one
     within: float = 6.0  # s until a change is to be in force
     budgets: bool = True
@@ -102,6 +104,7 @@
         self.story = STORY
         self.skipped = list[str]()  # phases that there was no time for
         self.other = list[float]()
+        self.own = list[float]()  # cores that we and all of our processes used, by second
         self.lags = list[float]()  # ms, of our own loop, which asks the real servers
 
     def region_of(self, at: int) -> tuple[int, int]:
@@ -166,7 +169,10 @@
         await self.put([Entry("", "tenant", "acme", self.value())])  # whose requests the real ones get
         self.events.clear()  # what was there before counts as a whole
         outside = [one for one in self.places if one not in self.zone]
-        follower = {"key": KEY, "signing_key": SIGNING}
+        plain = Terms()
+        spans = {name: int(getattr(plain, name) * setting.beat) for name in
+                 ("beat", "silence", "knock", "retry", "prefer", "stale", "stuck", "lease")}
+        follower = {"key": KEY, "signing_key": SIGNING, "terms": spans}
         control = {"control": {**follower, "key_file": str(self.folder / "key"), "signing_key_file": str(self.folder / "signing"),
                                "store": str(self.folder / "store.sqlite")}}
         fleet = {"key": KEY, "terms": {"total": self.total, "least": (len(self.zone) + setting.real) // 2 + 1}, "seeds": [], "demand": 2 * SHARE}
@@ -223,9 +229,10 @@
         hosts.tell_names("start", [one.name for one in self.zone[:1]])  # it has lived longest, and deals
         await asyncio.sleep(0.5)
         names = [one.name for one in self.places]
-        for at in range(0, len(names), 200):
-            hosts.tell_names("start", names[at:at + 200])
-            await asyncio.sleep(0.3)
+        each = max(1, self.setting.begin // 4)
+        for at in range(0, len(names), each):
+            hosts.tell_names("start", names[at:at + each])
+            await asyncio.sleep(0.25)
         self.up = set(names)
         (self.folder / "real").mkdir()
         await self.below.start()
@@ -235,7 +242,7 @@
             operator = {"fleet": {"listen": "127.0.0.1:0", "key_file": str(self.folder / "key"), "seeds": seeds, "calls": self.total / 1000,
                                   "least": (len(self.zone) + self.setting.real) // 2 + 1, "state_file": str(self.folder / f"state{at}")},
                         "distribution": {"listen": "127.0.0.1:0", "region": f"r{self.zone[0].region}", "key_file": str(self.folder / "key"),
-                                         "signing_key_file": str(self.folder / "signing"), "wait_ms": 0,
+                                         "signing_key_file": str(self.folder / "signing"), "wait_ms": 0, "beat_ms": int(1000 * self.setting.beat),
                                          "upstreams": [{"name": name, "region": region, "address": f"{host}:{port}"}
                                                        for name, region, host, port in upstreams],
                                          "state_file": str(self.folder / "real" / str(at) / "distribution")}}
@@ -288,7 +295,9 @@
                 if told is not None:
                     self.events.append([now, real.name, "traffic", told])
             busy_now = machine_busy()
+            total += time.process_time()
             if own:
+                self.own.append(max(0.0, total - own))
                 self.other.append(busy_now - busy - (total - own))
             busy, own = busy_now, total
 
@@ -560,15 +569,19 @@
 @click.option("--loss", default=0.01, show_default=True)
 @click.option("--entries", default=1000, show_default=True, help="in force from the beginning")
 @click.option("--seed", default=1, show_default=True)
+@click.option("--beat", default=1.0, show_default=True, help="s between reports of a follower")
+@click.option("--begin", default=700, show_default=True, help="servers that begin in a second")
+@click.option("--asked", default=30.0, show_default=True, help="requests a second to each real server")
+@click.option("--fleet", default=24, show_default=True, help="hollow servers that share out calls with the real ones")
 @click.option("--only", default="", help="phases, with commas between")
 @click.option("--short", is_flag=True, help="each phase a sixth as long")
 @click.option("--patience", default=60.0, show_default=True, help="s, for which all are waited for after the start and at the end")
 @click.option("--most", default=1e9, help="s after which no further phase begins")
-def run(servers: int, hosts: int, machines: int, real: int, rate: float, loss: float, entries: int, seed: int, only: str, short: bool,
-        patience: float, most: float) -> None:
+def run(servers: int, hosts: int, machines: int, real: int, rate: float, loss: float, entries: int, seed: int, beat: float, begin: int,
+        asked: float, fleet: int, only: str, short: bool, patience: float, most: float) -> None:
     """Hollow servers beside real ones, with faults, and a checker that watches."""
     began = time.monotonic()
-    setting = Setting(servers, hosts, machines, real, rate, loss, entries, seed, short, tuple(filter(None, only.split(","))), patience=patience, most=most)
+    setting = Setting(servers, hosts, machines, real, rate, loss, entries, seed, short, tuple(filter(None, only.split(","))), patience=patience, most=most, beat=beat, begin=begin, asked=asked, fleet=fleet)
     story, checker = played(setting, lambda what: print(f"{time.monotonic() - began:6.1f} s  {what}", file=sys.stderr, flush=True))
     for line in table(story, checker):
         print(line)
@@ -591,6 +604,7 @@
     print(f"four rules: {dict(story.rules.count)} {story.rules.faults[:3]}")
     print(f"hosts' faults: {story.faults[:3]}")
     other = sum(story.other) / max(1, len(story.other))
+    print(f"cores used by the run itself: {sum(story.own) / max(1, len(story.own)):.2f} in the mean")
     print(f"lag of the hosts' loops, 99 in 100 seconds: {starved(story):.0f} ms, {LAG_MOST:.0f} allowed; other load {other:.1f} cores")
     if starved(story) > LAG_MOST:
         print("TOO BUSY: the hosts were starved; this run counts for nothing")
--- a/burlloom/lab/hollow.py
+++ b/burlloom/lab/hollow.py
@@ -28,7 +28,7 @@
 from ..fleet import CALL, Fleet, Habits, State, Terms, Word
 from .distances import Distances, Place, place
 
-TICKS = {"fleet": 0.05, "follower": 0.2, "control": 3600.0}  # s; a server ticks each 0.05, a control machine by itself
+TICKS = {"fleet": 0.05, "follower": 0.25, "control": 3600.0}  # s; a server ticks each 0.05, a control machine by itself
 LOOK = 0.1  # s between looks at how late the loop is
 LIVES_MOST = 3600  # s after which a host ends, whatever it was told
 KEPT_MOST = 200  # datagrams that wait for one that stands still, as a socket's buffer would hold
