Control machines end by SIGTERM though whoever started them blocks it

Seen: in a whole run of the tests one worker's stories of distribution all failed, and twenty-two control machines lived on for 15 minutes; SIGTERM did nothing to them. Checked: alone each story passes (reaches_all, 22 s). Ruled out: the load (they had been told minutes ago) and their own end (SIGKILL ends them). Cause: that worker had imported burlloom.server.__main__, which blocks the signals; a start hands the mask on, and (burlloom/command/distribution.py, serve) never let them in, as the server does. Change: it unblocks what it has handlers for. The rig's stop kills what does not end, and the story fails all the same. Test: two control machines started under a mask end with status 0 on SIGTERM and SIGINT; it fails without the change (shown).

--- a/burlloom/command/distribution.py
+++ b/burlloom/command/distribution.py
@@ -13,6 +13,7 @@
 
 import click
 
+from ..signals import unblock
 from .shared import operator_file, operator_option, state_told, told_plainly
 
 if TYPE_CHECKING:
@@ -102,6 +103,7 @@
         signal.signal(signal.SIGHUP, signal.SIG_IGN)  # files are looked at each second anyway
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, control.stop)
+        unblock()  # whoever started us may have blocked them, and a start hands that on
         await control.run()
         if exposed is not None:
             exposed.close()
--- a/tests/distribution_rig.py
+++ b/tests/distribution_rig.py
@@ -109,7 +109,11 @@
         if self.process.returncode is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.send_signal(signal.SIGTERM)
-        status = await soon(self.process.wait())
+        try:
+            status = await soon(self.process.wait())
+        finally:
+            if self.process.returncode is None:
+                self.process.send_signal(signal.SIGKILL)  # whatever the story comes to, nothing is left running
         if kind is None:
             assert status == 0 and "level=error" not in self.log(), (status, self.log())
 
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -112,6 +112,21 @@
         assert "tenant acme: not in force in north" in await made.command(asked, "explain", "tenant", "acme")
 
 
+@world(control=1, servers=0)
+async def test_a_control_machine_ends_though_its_parent_blocks_the_signals(made: World) -> None:
+    """A mask is handed on to whoever is started; `World` asserts at its end that each ended by itself."""
+    heard = {signal.SIGTERM, signal.SIGINT}
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, heard)
+    try:
+        await made.control(2, ("north",))
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+    first, second = made.machines[1:]
+    first.signal(signal.SIGTERM)
+    second.signal(signal.SIGINT)
+    assert [await soon(one.process.wait()) for one in (first, second)] == [0, 0]
+
+
 @world(1, 1)
 async def test_a_bad_file_is_refused_whole(made: World) -> None:
     before = made.head()
