--- a/benchmarks/scale_servers.py
+++ b/benchmarks/scale_servers.py
@@ -326,7 +326,7 @@
 @part("agree", (30, 60, 100, 150, 200, 250, 300), ("rest",))
 def agree(size: int, state: str) -> Found:
     """Each fault alone, from a fleet that agrees."""
-    note = SWARM + "sizes to 300 measured, past that extrapolated"
+    note = SWARM + "the sizes of the row measured, past them extrapolated"
     found: Found = {}
 
     def put(name: str, said: str, seconds: float) -> None:
