--- a/benchmarks/scale_servers.py
+++ b/benchmarks/scale_servers.py
@@ -326,7 +326,7 @@
 @part("agree", (30, 60, 100, 150, 200, 250, 300), ("rest",))
 def agree(size: int, state: str) -> Found:
     """Each fault alone, from a fleet that agrees."""
-    note = SWARM + "sizes to 300 measured, past that extrapolated"
+    note = SWARM + "the sizes of the row measured, past them extrapolated"
     found: Found = {}
 
     def put(name: str, said: str, seconds: float) -> None:
@@ -380,7 +380,7 @@
 
 def measured(name: str, sizes: Sequence[int], states: Sequence[str], side: str, step: Callable[[str], None]) -> list[Row]:
     what, own, may = PARTS[name]
-    taken = tuple(size for size in own if not sizes or size in sizes)
+    taken = tuple(sizes) or own
     rows, speed = [], yardstick()
     for state in may:
         if states and state not in states:
@@ -402,7 +402,7 @@
 @click.command()
 @click.option("--part", "parts", multiple=True, type=click.Choice(sorted(PARTS)), help="All where none is named.")
 @click.option("--state", "states", multiple=True, type=click.Choice(("rest", "churn", "cold")), help="All where none is named.")
-@click.option("--sizes", default="", help="Of a part's own sizes, those with commas between; five at least to keep them.")
+@click.option("--sizes", default="", help="In place of a part's own, with commas between; five at least to keep them.")
 @click.option("--side", default="now", type=click.Choice(("now", "before")), help="`before`: of the text before a change.")
 @click.option("--keep", "keeps", is_flag=True, help="Add the rows to benchmarks/slopes.jsonl.")
 def servers(parts: tuple[str, ...], states: tuple[str, ...], sizes: str, side: str, keeps: bool) -> None:
