--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -24,8 +24,8 @@
 
 
 for command in (scale_configuration.configuration, scale_configuration.routes, scale_request.request,
-                scale_request.during, scale_request.deal, scale_callers.callers, scale_servers.servers,
-                scale_table.table):
+                scale_request.during, scale_request.deal, scale_request.lead, scale_callers.callers,
+                scale_servers.servers, scale_table.table):
     scale.add_command(command)
 
 if __name__ == "__main__":
