--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -342,9 +342,12 @@
 def test_what_was_left_is_shown(tmp_path: Path) -> None:
     path, kept = tmp_path / "operator.jsonnet", tmp_path / "kept"
     path.write_text(json.dumps({"recovery": {"state_file": str(kept)}}))
-    kept.write_text(write(replace(KEPT, told_at=time.time_ns() // MS - 2000)))
+    told_at = time.time_ns() // MS - 2000
+    kept.write_text(write(replace(KEPT, told_at=told_at)))
     said = burlloom("recovery", "show", "-o", path)
-    assert "n1: life 1000, told 2." in said and "good: peers and the store are asked" in said
+    ago = re.match(r"n1: life 1000, told (\d+\.\d) s ago, ", said)
+    assert ago is not None and 2.0 <= float(ago[1]) <= (time.time_ns() // MS - told_at) / 1000 + 0.05, said
+    assert "good: peers and the store are asked" in said
     assert "foreign" in burlloom_says("recovery", "show", "-o", path, "--node", "n2")
     kept.write_text(kept.read_text()[:-9])
     assert "torn: a cold start, and the fence" in burlloom_says("recovery", "show", "-o", path)
