--- a/benchmarks/distribution_core.py
+++ b/benchmarks/distribution_core.py
@@ -13,7 +13,7 @@
 from distribution_world import SEAL, SECOND, SIGN, value
 from test_distribution_core import HERE, LIFE, NOW, cost, empty, soon
 
-from burlloom.distribution import Copy, Entry, Follower, Source, Table, Terms, Upstream, propose
+from burlloom.distribution import Replica, Entry, Follower, Source, Table, Terms, Upstream, propose
 
 FOLLOWERS, BEATS, CHANGES, NEWCOMERS_ENTRIES = 300, 20, 20, 100_000
 
@@ -22,11 +22,11 @@
     """One source and its followers; what each side spent, s."""
 
     def __init__(self, entries: int, followers: int, terms: Terms) -> None:
-        copy = empty(None)
+        replica = empty(None)
         for at in range(0, entries, 64):
-            copy.table.put([Entry("", "tenant", f"tenant-{one:06}", value(one)) for one in range(at, min(entries, at + 64))])
-        self.source = Source(copy, "source", LIFE, (SEAL,), terms, Random(1), NOW, lambda now: 0)
-        self.followers = [Follower(Copy(Table(("", "a")), [SIGN]), f"s{at}", LIFE, "a", [Upstream("source", "a", HERE)], (SEAL,),
+            replica.table.put([Entry("", "tenant", f"tenant-{one:06}", value(one)) for one in range(at, min(entries, at + 64))])
+        self.source = Source(replica, "source", LIFE, (SEAL,), terms, Random(1), NOW, lambda now: 0)
+        self.followers = [Follower(Replica(Table(("", "a")), [SIGN]), f"s{at}", LIFE, "a", [Upstream("source", "a", HERE)], (SEAL,),
             terms, Random(at), NOW) for at in range(followers)]
         self.above = self.below = self.worst = 0.0
 
@@ -56,7 +56,7 @@
 
 def main() -> None:
     pair, now = Pair(200, FOLLOWERS, Terms()), NOW
-    while any(one.copy.head is None for one in pair.followers):
+    while any(one.replica.head is None for one in pair.followers):
         pair.tick(now)
         pair.exchange(now)
         now += SECOND
@@ -70,10 +70,10 @@
     for size in (1, 8):
         pair.below, push = 0.0, 0.0
         for number in range(CHANGES):
-            head = pair.source.copy.head
+            head = pair.source.replica.head
             assert head is not None
             entries = [Entry("", "tenant", f"t{number * 9 + at}", msgpack.packb({"n": number, "x": "y" * 90})) for at in range(size)]
-            assert pair.source.copy.take(propose(head, "", entries, 1, SIGN)) is None
+            assert pair.source.replica.take(propose(head, "", entries, 1, SIGN)) is None
             begun = process_time()
             pair.source.push(now)
             push += process_time() - begun
--- a/burlloom/distribution/__init__.py
+++ b/burlloom/distribution/__init__.py
@@ -1,6 +1,6 @@
 """Carrying configuration to a fleet: changes in a chain, pushed down a tree, with repair by digests.
 
-Without I/O: `Follower` is a server's side, `Source` the side that is followed, both on a `Copy`; a relay has
+Without I/O: `Follower` is a server's side, `Source` the side that is followed, both on a `Replica`; a relay has
 both. `docs/distribution.md` has the choice and why nothing is lost or reordered.
 """
 
@@ -9,9 +9,9 @@
 from .messages import to_source
 from .origin import propose
 from .source import Source
-from .state import Copy
+from .replica import Replica
 from .table import Table
 from .terms import Terms
 
-__all__ = ["Change", "Copy", "Entry", "Follower", "Head", "Refused", "Source", "Table", "Terms", "Upstream",
+__all__ = ["Change", "Replica", "Entry", "Follower", "Head", "Refused", "Source", "Table", "Terms", "Upstream",
            "first_head", "propose", "to_source"]
--- a/burlloom/distribution/control.py
+++ b/burlloom/distribution/control.py
@@ -15,7 +15,7 @@
 from .messages import to_source
 from .source import Source
 from .source import summary as source_summary
-from .state import Copy
+from .replica import Replica
 from .stores import Away, ChangeStore
 from .stores.reading import Broken, Reading
 from .table import Table
@@ -72,12 +72,12 @@
         self.chance = Random(seed)
         self.counts = Counts()
         self.life, now = time.time_ns() // MS, since_start()
-        self.copy = Copy(Table(None), signing.keys)
-        self.source = Source(self.copy, name, self.life, seals.keys, terms, self.chance, now, self.age)
+        self.replica = Replica(Table(None), signing.keys)
+        self.source = Source(self.replica, name, self.life, seals.keys, terms, self.chance, now, self.age)
         self.follower: Follower | None = None
-        self.reading = Reading(store, self.copy, lambda: Table(None), self) if store is not None else None
+        self.reading = Reading(store, self.replica, lambda: Table(None), self) if store is not None else None
         self.endpoint = Endpoint(sock, self.hear)
-        self.telling = Telling(self.copy)
+        self.telling = Telling(self.replica)
         self.began_at = now
         self.read_at: int | None = None  # when the last look that worked began
         self.away = ""
@@ -198,7 +198,7 @@
             # A life of its own: its numbers begin anew.
             self.life = max(self.life + 1, time.time_ns() // MS)
             self.follower = Follower(
-                self.copy,
+                self.replica,
                 self.name,
                 self.life,
                 self.region,
@@ -237,7 +237,7 @@
             if self.follower is not None:
                 self.follower.keys = self.seals.keys
         if self.signing.changed():
-            self.copy.keys = self.signing.keys
+            self.replica.keys = self.signing.keys
         self.endpoint.tell_refusals(now // SECOND, self.source.refusals)
         if self.follower is not None:
             self.endpoint.tell_refusals(now // SECOND, self.follower.refusals)
@@ -247,13 +247,13 @@
     def lowest(self) -> tuple[int | None, int]:
         """Of who follows, within our epoch: the lowest revision, and for how many ms the first change
         that one of them lacks has been there. One of another epoch has 0."""
-        head = self.copy.head
+        head = self.replica.head
         if head is None or not self.source.followers:
             return None, 0
         lowest = min(
             lease.revision if lease.epoch == head.epoch else 0 for lease in self.source.followers.values()
         )
-        lacked = self.copy.log.since(lowest, 1)
+        lacked = self.replica.log.since(lowest, 1)
         if lowest >= head.revision:
             return lowest, 0
         since = lacked[0].time_ms if lacked else head.time_ms
@@ -267,7 +267,7 @@
             "region": self.region,
             "address": self.endpoint.address,
             **source_summary(self.source, now),
-            **held(self.copy),
+            **held(self.replica),
             "lowest_revision": lowest,
             "lacking_ms": lacking,
             "store_away": self.away,
@@ -287,7 +287,7 @@
 
     def gauges(self) -> dict[str, float]:
         """The age is NaN where nothing is in force."""
-        head, age = self.copy.head, self.age(since_start())
+        head, age = self.replica.head, self.age(since_start())
         lowest, lacking = self.lowest()
         return {
             "epoch": float(head.epoch) if head else 0.0,
@@ -298,6 +298,6 @@
             "follows_peers": float(self.follower is not None),
             "lacking_seconds": lacking / 1000,
             "lowest_revision": float(lowest) if lowest is not None else float("nan"),
-            "tenants": float(self.copy.table.count("tenant")),
-            "routes": float(self.copy.table.count("route")),
+            "tenants": float(self.replica.table.count("tenant")),
+            "routes": float(self.replica.table.count("route")),
         }
--- a/burlloom/distribution/follower.py
+++ b/burlloom/distribution/follower.py
@@ -4,7 +4,7 @@
 sends what lies in `out`. Times are ns of a clock that never steps back.
 
 The applied revisions of an epoch are dense whatever the network does, since only the change right after the
-head whose tag continues the head's is taken (`Copy.take`); the rest is held for its turn, or asked for again.
+head whose tag continues the head's is taken (`Replica.take`); the rest is held for its turn, or asked for again.
 A sync makes the table the upstream's by pages: it remembers the head from before the first page (the base),
 folds the changes after the base, and ends at a revision not before that of any page. Within an epoch nothing
 goes back; what the head of a later epoch says is taken by a sync.
@@ -24,7 +24,7 @@
 from .messages import (
     PAGES_MOST, PULL_MOST, Body, Bye, Digests, DigestsAsk, Message, Paged, PagesAsk, Pull, Pushed, Redirect,
     Report, Sender, Told, Unreadable, seal, unseal)
-from .state import Copy
+from .replica import Replica
 from .table import BUCKETS, Place
 from .terms import MS, Terms
 
@@ -149,15 +149,15 @@
     """`life`: Unix ms of the start. `upstreams`: own region's come first, each part in rendezvous order. The
     first key seals. Raises `ValueError` for terms or upstreams that can't be."""
 
-    def __init__(self, copy: Copy, name: str, life: int, region: str, upstreams: Iterable[Upstream],
+    def __init__(self, replica: Replica, name: str, life: int, region: str, upstreams: Iterable[Upstream],
                  keys: tuple[bytes, ...], terms: Terms, chance: Random, now: int) -> None:
-        self.copy, self.name, self.life, self.keys = copy, name, life, keys
+        self.replica, self.name, self.life, self.keys = replica, name, life, keys
         self.terms, self.chance = terms, chance
         self.upstreams = preferred(name, region, upstreams)
         if not 0 < len(self.upstreams) <= UPSTREAMS_MOST or terms.faults():
             raise ValueError("; ".join(terms.faults())
                 or f"{len(self.upstreams)} upstreams, of 1 to {UPSTREAMS_MOST}")
-        self.state = State.EMPTY if copy.head is None else State.ALONE
+        self.state = State.EMPTY if replica.head is None else State.ALONE
         self.out: deque[tuple[Address, bytes]] = deque()
         self.counts = Counts()
         self.refusals: deque[tuple[str, Address]] = deque(maxlen=REFUSALS_MOST)  # until the host takes them
@@ -248,8 +248,8 @@
             del self.reports[next(iter(self.reports))]
 
     def own_report(self) -> Report:
-        head, table = self.copy.head, self.copy.table
-        if head is None or self.copy.patched:
+        head, table = self.replica.head, self.replica.table
+        if head is None or self.replica.patched:
             return Report(table.scopes, 0, 0, 0)
         return Report(table.scopes, head.epoch, head.revision, table.digest())
 
@@ -329,7 +329,7 @@
 
     def fault_of(self, head: Head) -> str:
         """Why nobody with that head may be followed; empty where one may."""
-        own = self.copy.head
+        own = self.replica.head
         if own is None:
             return ""
         if head.epoch < own.epoch:
@@ -349,7 +349,7 @@
 
     def reckon(self) -> None:
         """Words about revisions that we have say when what is in force was surely the newest."""
-        head = self.copy.head
+        head = self.replica.head
         while head is not None and self.words:
             epoch, revision, at = self.words[0]
             if epoch == head.epoch and revision > head.revision or epoch > head.epoch:
@@ -363,7 +363,7 @@
         change = message.body.change
         tip = self.tip()
         if tip is None:
-            return "" if self.sync is not None or self.copy.head is None else "a change before a sync"
+            return "" if self.sync is not None or self.replica.head is None else "a change before a sync"
         if change.epoch != tip.epoch:
             return "a change of another epoch"
         if change.revision <= tip.revision:
@@ -381,7 +381,7 @@
         """The revision that the next change is to follow: of the table, or of what a sync folded."""
         if self.sync is not None:
             return self.sync.tip
-        return None if self.copy.patched else self.copy.head
+        return None if self.replica.patched else self.replica.head
 
     def drain(self, now: int) -> str:
         """Takes what follows, as far as it goes; says why a change was refused."""
@@ -390,7 +390,7 @@
             change = self.early.pop(tip.revision + 1, None) if tip is not None else None
             if change is None:
                 return ""
-            reason = self.copy.take(change) if self.sync is None else self.fold(self.sync, change)
+            reason = self.replica.take(change) if self.sync is None else self.fold(self.sync, change)
             if reason:
                 self.refused_row += 1
                 if self.refused_row >= REFUSED_MOST:
@@ -406,10 +406,10 @@
     def fold(self, sync: Sync, change: Change) -> str:
         """The next change after the base: for the end of the sync."""
         assert sync.tip is not None
-        reason = break_of(sync.tip, change, self.copy.keys)
-        if not reason and self.copy.holds(change.scope):
+        reason = break_of(sync.tip, change, self.replica.keys)
+        if not reason and self.replica.holds(change.scope):
             try:
-                entries = self.copy.entries_of(change)
+                entries = self.replica.entries_of(change)
             except Refused as refused:
                 return str(refused)
             for entry in entries:
@@ -468,10 +468,10 @@
     def apart(self) -> bool:
         """Whether only a sync helps: nothing whole here, a later epoch, changes that can't be pulled any
         more, or digests that differ at the same revision."""
-        told, head = self.told, self.copy.head
+        told, head = self.told, self.replica.head
         if told is None:
             return False
-        if head is None or self.copy.patched or told.head.epoch > head.epoch:
+        if head is None or self.replica.patched or told.head.epoch > head.epoch:
             return True
         return (told.head.revision > head.revision and told.oldest > head.revision
                 or told.differs and self.told_number >= self.judged)
@@ -485,7 +485,7 @@
                 and (told.head.epoch != sync.tip.epoch or told.oldest > sync.tip.revision))
 
     def behind(self) -> bool:
-        head = self.copy.head
+        head = self.replica.head
         return head is not None and self.latest > head.revision
 
     def short(self) -> bool:
@@ -530,13 +530,13 @@
         entries = list(sync.fold.values())
         try:
             for at in range(0, len(entries), PUT_MOST):
-                self.copy.table.put(entries[at:at + PUT_MOST])
+                self.replica.table.put(entries[at:at + PUT_MOST])
         except ValueError as error:  # a table's own bounds
             self.refuse(f"the table refuses: {error!s:.100}", self.upstream.address)
             self.lose(now)
             return
-        if self.copy.patched or self.copy.head != sync.tip:  # else nothing was to be done: the log stays
-            self.copy.settle(sync.tip)
+        if self.replica.patched or self.replica.head != sync.tip:  # else nothing was to be done: the log stays
+            self.replica.settle(sync.tip)
         self.sync, self.judged, self.patched_to = None, self.number + 1, (0, 0)
         self.early = {revision: change for revision, change in self.early.items()
             if change.epoch == sync.tip.epoch and revision > sync.tip.revision}
@@ -559,7 +559,7 @@
         low, high = sync.halves.get((number, 0)), sync.halves.get((number, 1))
         if low is None or high is None:
             return ""
-        head, own = low.head, self.copy.head
+        head, own = low.head, self.replica.head
         if head != high.head:
             del sync.halves[number, 0], sync.halves[number, 1]
             return "DIGESTS of two moments"
@@ -568,7 +568,7 @@
             self.lose(now)
             return "a base that is older than what is in force"
         theirs = low.digests + high.digests
-        ours = self.copy.table.digests()
+        ours = self.replica.table.digests()
         sync.base = sync.tip = head
         sync.moved_at, sync.halves = now, {}
         sync.wanted = [bucket for bucket in range(BUCKETS) if theirs[bucket] != ours[bucket]]
@@ -603,9 +603,9 @@
         while page is not None:
             sync.target = max(sync.target, page.revision)
             self.patched_to = max(self.patched_to, (page.epoch, page.revision))
-            self.copy.patched = self.copy.head is not None
+            self.replica.patched = self.replica.head is not None
             try:
-                self.counts.mended += self.copy.table.replace(page.bucket, page.after, page.page)
+                self.counts.mended += self.replica.table.replace(page.bucket, page.after, page.page)
             except ValueError as error:
                 return f"a PAGE that the table refuses: {error!s:.100}"
             self.counts.pages += 1
@@ -665,11 +665,11 @@
 
 def summary(follower: Follower, now: int) -> Mapping[str, object]:
     """For an operator's eyes; plain values."""
-    head, sync, counts = follower.copy.head, follower.sync, follower.counts
+    head, sync, counts = follower.replica.head, follower.sync, follower.counts
     return {
         "name": follower.name, "state": follower.state.name.lower(), "upstream": follower.upstream.name,
         "epoch": head.epoch if head else None, "revision": head.revision if head else None,
-        "latest": follower.latest, "age_ms": follower.age(now), "mixed": follower.copy.patched,
+        "latest": follower.latest, "age_ms": follower.age(now), "mixed": follower.replica.patched,
         "buckets_left": len(sync.wanted) + len(sync.fetching) if sync else 0,
         "counts": {name: getattr(counts, name) for name in counts.__slots__}}
 
--- a/burlloom/distribution/state.py
+++ b/burlloom/distribution/replica.py
@@ -7,7 +7,7 @@
 from .table import Table
 
 
-class Copy:
+class Replica:
     """`head`: None until a first revision was whole here. `patched`: the table is on its way from the head's
     revision to a later one, pages of which lie in it already: it is served on, but is nothing to copy from.
     `keys`: of signing, any of them will do."""
--- a/burlloom/distribution/source.py
+++ b/burlloom/distribution/source.py
@@ -1,4 +1,4 @@
-"""The side that is followed: of a control machine, or of a relay (a Follower beside it on the same Copy). No
+"""The side that is followed: of a control machine, or of a relay (a Follower beside it on the same Replica). No
 I/O.
 
 A host gives it the time (`tick`, once a beat or so) and what datagrams come (`hear`), calls `push` after
@@ -15,7 +15,7 @@
 from .messages import (
     HALF, PAGE_BYTES, Body, Bye, Digests, DigestsAsk, Message, Paged, PagesAsk, Pull, Pushed, Redirect,
     Report, Sender, Told, Unreadable, Window, seal, unseal)
-from .state import Copy
+from .replica import Replica
 from .terms import MS, Terms
 
 PUSH_MOST = 64  # changes that are pushed at once; who misses more pulls
@@ -61,16 +61,16 @@
 class Source:
     """`age`: ms since the copy was surely the newest, at a time; None: never. The first key seals."""
 
-    def __init__(self, copy: Copy, name: str, life: int, keys: tuple[bytes, ...], terms: Terms,
+    def __init__(self, replica: Replica, name: str, life: int, keys: tuple[bytes, ...], terms: Terms,
                  chance: Random, now: int, age: Callable[[int], int | None]) -> None:
-        self.copy, self.name, self.life, self.keys = copy, name, life, keys
+        self.replica, self.name, self.life, self.keys = replica, name, life, keys
         self.terms, self.chance = terms, chance
         self.age = age
         self.out: deque[tuple[Address, bytes]] = deque()
         self.counts = Counts()
         self.refusals: deque[tuple[str, Address]] = deque(maxlen=REFUSALS_MOST)  # until the host takes them
         self.followers: dict[str, Lease] = {}
-        self.pushed = (copy.head.epoch, copy.head.revision) if copy.head is not None else (0, 0)
+        self.pushed = (replica.head.epoch, replica.head.revision) if replica.head is not None else (0, 0)
         self.sealed: dict[tuple[int, int, bool], bytes] = {}
         self.tokens, self.filled_at = float(terms.page_burst), now
         self.leaving = False
@@ -84,13 +84,13 @@
 
     def push(self, now: int) -> None:
         """What is new goes to all who follow. After a sync, or where it is very much, they pull."""
-        head = self.copy.head
-        if head is None or not self.copy.whole or self.pushed == head[:2]:
+        head = self.replica.head
+        if head is None or not self.replica.whole or self.pushed == head[:2]:
             return
         epoch, revision = self.pushed
         changes = None
         if epoch == head.epoch and head.revision - revision <= PUSH_MOST:
-            changes = self.copy.log.since(revision, PUSH_MOST)
+            changes = self.replica.log.since(revision, PUSH_MOST)
         self.pushed = head.epoch, head.revision
         for change in changes or ():
             full, bare = self.sealed_of(change, True), b""
@@ -137,7 +137,7 @@
         self.refusals.append((reason, source))
 
     def reported(self, now: int, message: Message, source: Address) -> str:
-        sender, body, head = message.sender, message.body, self.copy.head
+        sender, body, head = message.sender, message.body, self.replica.head
         assert isinstance(body, Report)
         lease = self.followers.get(sender.name)
         if lease is not None and lease.until <= now and lease.life != sender.life:
@@ -162,10 +162,10 @@
 
     def unfit(self, body: Report) -> str:
         """Why we can't be followed by that one; empty where we can."""
-        held = self.copy.table.scopes
+        held = self.replica.table.scopes
         if self.leaving:
             return "leaving"
-        if self.copy.head is None:
+        if self.replica.head is None:
             return "nothing here yet"
         if held is not None and (body.scopes is None or not set(body.scopes) <= set(held)):
             return "scopes that are not held here"
@@ -178,18 +178,18 @@
         return len(self.followers) >= self.terms.followers_most
 
     def differs(self, body: Report) -> bool:
-        head = self.copy.head
+        head = self.replica.head
         if head is None or body.epoch != head.epoch or not 0 <= head.revision - body.revision <= JUDGED_MOST:
             return False
-        digest = self.copy.digest_at(body.revision, body.scopes)
+        digest = self.replica.digest_at(body.revision, body.scopes)
         found = digest is not None and digest != body.digest
         self.counts.differing += found
         return found
 
     def tell(self, now: int, number: int, to: Address, differs: bool) -> None:
-        assert self.copy.head is not None
+        assert self.replica.head is not None
         # A copy on its way to a later revision is nothing to pull from or sync with, and says no other head.
-        self.send(to, number, Told(self.copy.head, self.age(now), differs, self.copy.log.base))
+        self.send(to, number, Told(self.replica.head, self.age(now), differs, self.replica.log.base))
 
     def lease_of(self, now: int, message: Message) -> Lease | None:
         """Who asked, where that is one that follows, and did not ask with that number before."""
@@ -201,11 +201,11 @@
         return lease
 
     def pulled(self, now: int, message: Message, source: Address) -> str:
-        lease, body, head = self.lease_of(now, message), message.body, self.copy.head
+        lease, body, head = self.lease_of(now, message), message.body, self.replica.head
         assert isinstance(body, Pull)
         if lease is None or head is None:
             return "a PULL of none that follows, or played again"
-        changes = self.copy.log.since(body.after, body.most) if body.epoch == head.epoch else None
+        changes = self.replica.log.since(body.after, body.most) if body.epoch == head.epoch else None
         if changes is None:
             self.tell(now, message.sender.number, lease.address, False)
         for change in changes or ():
@@ -215,23 +215,23 @@
         return ""
 
     def digests_asked(self, now: int, message: Message, source: Address) -> str:
-        lease, head = self.lease_of(now, message), self.copy.head
+        lease, head = self.lease_of(now, message), self.replica.head
         if lease is None:
             return "a DIGESTS_ASK of none that follows, or played again"
-        if head is None or not self.copy.whole:
+        if head is None or not self.replica.whole:
             return "a DIGESTS_ASK while there is no whole revision here"
-        digests = self.copy.digests_of(lease.scopes)
+        digests = self.replica.digests_of(lease.scopes)
         for half in (0, 1):
             self.send(lease.address, message.sender.number,
                 Digests(head, half, tuple(digests[half * HALF:(half + 1) * HALF])))
         return ""
 
     def pages_asked(self, now: int, message: Message, source: Address) -> str:
-        lease, body, head = self.lease_of(now, message), message.body, self.copy.head
+        lease, body, head = self.lease_of(now, message), message.body, self.replica.head
         assert isinstance(body, PagesAsk)
         if lease is None:
             return "a PAGES_ASK of none that follows, or played again"
-        if head is None or not self.copy.whole:
+        if head is None or not self.replica.whole:
             return "a PAGES_ASK while there is no whole revision here"
         self.tokens = min(float(self.terms.page_burst),
             self.tokens + (now - self.filled_at) * self.terms.page_rate / (1000 * MS))
@@ -241,7 +241,7 @@
             if self.tokens <= 0:
                 self.counts.held_back += 1
                 return ""
-            page = self.copy.table.page(body.bucket, after, lease.scopes, PAGE_BYTES)
+            page = self.replica.table.page(body.bucket, after, lease.scopes, PAGE_BYTES)
             self.tokens -= self.send(lease.address, message.sender.number,
                 Paged(head.epoch, head.revision, body.bucket, place, after, page))
             self.counts.pages += 1
@@ -281,11 +281,11 @@
 
 def summary(source: Source, now: int) -> Mapping[str, object]:
     """For an operator's eyes; plain values."""
-    head, counts = source.copy.head, source.counts
+    head, counts = source.replica.head, source.counts
     return {
         "name": source.name, "epoch": head.epoch if head else None,
         "revision": head.revision if head else None,
-        "age_ms": source.age(now), "whole": source.copy.whole, "log": len(source.copy.log),
+        "age_ms": source.age(now), "whole": source.replica.whole, "log": len(source.replica.log),
         "followers": len(source.followers), "followers_most": source.terms.followers_most,
         "behind": sum(1 for lease in source.followers.values()
             if head and (lease.epoch, lease.revision) < head[:2]),
--- a/burlloom/distribution/stores/reading.py
+++ b/burlloom/distribution/stores/reading.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from ..changes import Head, break_of, head_of
-from ..state import Copy
+from ..replica import Replica
 from ..table import Table
 from .store import ChangeStore, Place
 
@@ -28,8 +28,8 @@
 class Reading:
     """`table`: makes an empty one, of all scopes."""
 
-    def __init__(self, store: ChangeStore, copy: Copy, table: Callable[[], Table], told: Told) -> None:
-        self.store, self.copy, self.table, self.told = store, copy, table, told
+    def __init__(self, store: ChangeStore, replica: Replica, table: Callable[[], Table], told: Told) -> None:
+        self.store, self.replica, self.table, self.told = store, replica, table, told
         self.opened = False
 
     async def round(self) -> None:
@@ -38,7 +38,7 @@
             await self.store.open()
             self.opened = True
         own = (
-            self.copy.head
+            self.replica.head
         )  # before the store is asked: what a peer tells us meanwhile is not behind its answer
         head = await self.store.head()
         if own is None:
@@ -47,24 +47,24 @@
             (head.epoch, head.revision) == (own.epoch, own.revision) and head.tag != own.tag
         ):
             await self.renew(head, own)
-        elif not self.copy.whole or head.epoch > own.epoch:
+        elif not self.replica.whole or head.epoch > own.epoch:
             await self.load()
         else:
             await self.take(head)
 
     async def take(self, head: Head) -> None:
-        while (own := self.copy.head) is not None and own.revision < head.revision:
+        while (own := self.replica.head) is not None and own.revision < head.revision:
             found = await self.store.since(own.revision, AT_ONCE)
-            if self.copy.head != own:  # a peer told us meanwhile
+            if self.replica.head != own:  # a peer told us meanwhile
                 continue
             if not found or found[0].revision != own.revision + 1:
                 await self.load()  # we were away for longer than the log reaches
                 return
             for change in found:
-                own = self.copy.head
-                reason = self.copy.take(change)
+                own = self.replica.head
+                reason = self.replica.take(change)
                 if reason is not None:
-                    if own is None or not self.copy.whole or change.revision <= own.revision:
+                    if own is None or not self.replica.whole or change.revision <= own.revision:
                         return  # a peer brought us further meanwhile, or a sync with it began
                     last = await self.store.at(own.revision)
                     if own.revision == 0 or last is None or last.tag == own.tag:
@@ -92,15 +92,15 @@
             if base.revision == head.revision:
                 break
             for change in await self.store.since(base.revision, AT_ONCE):
-                if reason := break_of(base, change, self.copy.keys):
+                if reason := break_of(base, change, self.replica.keys):
                     raise Broken(f"revision {change.revision}: {reason}")
-                table.put(self.copy.entries_of(change))
+                table.put(self.replica.entries_of(change))
                 base = head_of(change)
         else:
             return
-        own = self.copy.head
-        if own is not None and self.copy.whole and (own.epoch, own.revision) > (base.epoch, base.revision):
+        own = self.replica.head
+        if own is not None and self.replica.whole and (own.epoch, own.revision) > (base.epoch, base.revision):
             return  # a peer brought us further meanwhile
-        self.copy.table = table
-        self.copy.settle(base)
+        self.replica.table = table
+        self.replica.settle(base)
         self.told.loaded(base)
--- a/burlloom/distribution/telling.py
+++ b/burlloom/distribution/telling.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from .changes import Head
-from .state import Copy
+from .replica import Replica
 
 log = logging.getLogger(__name__)
 
@@ -17,14 +17,14 @@
     that was applied in between, in the chain's order, of which `tag` is the end; or else a sync set all
     at once."""
 
-    def __init__(self, copy: Copy) -> None:
-        self.copy, self.head = copy, copy.head
+    def __init__(self, replica: Replica) -> None:
+        self.replica, self.head = replica, replica.head
 
     def look(self) -> None:
-        head, before = self.copy.head, self.head
+        head, before = self.replica.head, self.head
         if head == before or head is None:
             return
-        self.head, log_ = head, self.copy.log
+        self.head, log_ = head, self.replica.log
         if before is None or before.epoch != head.epoch or log_.base > before.revision:
             # Of a sync that ended, and of what was applied after it: one line each.
             at = log_.base
@@ -85,9 +85,9 @@
         log.warning("event=state-not-written detail=%r", str(error))
 
 
-def held(copy: Copy) -> dict[str, object]:
+def held(replica: Replica) -> dict[str, object]:
     """Of a copy, for the state's file."""
-    table = copy.table
+    table = replica.table
     return {
         "digest": f"{table.digest():016x}",
         "entries": {kind: table.count(kind) for kind in ("tenant", "route", "setting")},
--- a/burlloom/lab/hollow_configuration.py
+++ b/burlloom/lab/hollow_configuration.py
@@ -16,7 +16,7 @@
 
 import msgpack
 
-from ..distribution import Change, Copy, Follower, Head, Table, Terms, Upstream
+from ..distribution import Change, Replica, Follower, Head, Table, Terms, Upstream
 from ..distribution.control import Control
 from ..distribution.stores.reading import Reading
 from ..distribution.stores.sqlite import Sqlite
@@ -37,7 +37,7 @@
     return hashlib.sha256(body).hexdigest()[:16] if body is not None else ""
 
 
-class Witnessed(Copy):
+class Witnessed(Replica):
     """A copy, and what it took in which order."""
 
     def __init__(self, table: Table, keys: tuple[bytes, ...]) -> None:
@@ -79,9 +79,9 @@
     return (bytes.fromhex(told["key"]),), (bytes.fromhex(told["signing_key"]),)
 
 
-def copy_facts(copy: Copy, age: int | None) -> dict[str, Any]:
-    head = copy.head
-    return {f"revision {head.revision if head else -1}": 1, "whole": int(copy.whole), "age_ms": age or 0, "ageless": int(age is None)}
+def copy_facts(replica: Replica, age: int | None) -> dict[str, Any]:
+    head = replica.head
+    return {f"revision {head.revision if head else -1}": 1, "whole": int(replica.whole), "age_ms": age or 0, "ageless": int(age is None)}
 
 
 class Following:
@@ -89,8 +89,8 @@
 
     def __init__(self, own: Place, address: str, life: int, told: dict[str, Any], chance: Random, now: int) -> None:
         region = f"r{own.region}"
-        self.copy = Witnessed(Table(("", region)), keys(told)[1])
-        self.follower = Follower(self.copy, own.name, life, region, upstreams(told), keys(told)[0], Terms(**told.get("terms", {})), chance, now)
+        self.replica = Witnessed(Table(("", region)), keys(told)[1])
+        self.follower = Follower(self.replica, own.name, life, region, upstreams(told), keys(told)[0], Terms(**told.get("terms", {})), chance, now)
         self.out: deque[Any] = self.follower.out
         self.group = region
 
@@ -111,18 +111,18 @@
 
     def told(self, message: dict[str, Any]) -> None:
         if message.get("contents"):
-            self.copy.seen.append([clock(), "holds", self.group, self.copy.contents()])
+            self.replica.seen.append([clock(), "holds", self.group, self.replica.contents()])
 
     def facts(self, now: int) -> dict[str, Any]:
         follower = self.follower
         age = follower.age(now)
         bin_of_age = "none" if age is None else next((str(most) for most in (1000, 2000, 3000, 6000, 60_000) if age <= most), "more")
-        return {**copy_facts(self.copy, age), f"state {follower.state.name.lower()}": 1, f"age under {bin_of_age}": 1,
+        return {**copy_facts(self.replica, age), f"state {follower.state.name.lower()}": 1, f"age under {bin_of_age}": 1,
                 "dropped": follower.counts.dropped, "refused": sum(follower.counts.refused.values()), "pulls": follower.counts.pulls,
                 "syncs": follower.counts.syncs, "moves": follower.counts.moves}
 
     def events(self, now: int) -> Iterable[list[Any]]:
-        seen, self.copy.seen = self.copy.seen, []
+        seen, self.replica.seen = self.replica.seen, []
         return seen
 
 
@@ -223,7 +223,7 @@
 
     def facts(self, now: int) -> dict[str, Any]:
         control, counts = self.control, self.control.source.counts
-        return {**copy_facts(control.copy, control.age(now)), "followers": len(control.source.followers), "pushed": counts.pushed,
+        return {**copy_facts(control.replica, control.age(now)), "followers": len(control.source.followers), "pushed": counts.pushed,
                 "pulled": counts.pulled, "pages": counts.pages, "redirects": counts.redirects, "differing": counts.differing,
                 "dropped": counts.dropped, "refused": sum(counts.refused.values()), "held_back": counts.held_back,
                 "peers": int(control.follower is not None), "broken": control.counts.broken, "renewals": control.counts.renewals,
--- a/burlloom/server/distributing.py
+++ b/burlloom/server/distributing.py
@@ -18,7 +18,7 @@
     import asyncio
     import socket
 
-    from ..distribution import Copy, Follower
+    from ..distribution import Replica, Follower
     from ..distribution.table import Place
     from ..metrics import Exposed
     from ..operator import DistributionPart
@@ -68,25 +68,25 @@
 class Tenants(Collection[str]):
     """Those of the table once it is in force, else those that the server's configuration told."""
 
-    def __init__(self, copy: Copy, told: Collection[str]) -> None:
-        self.copy, self.told = copy, told
+    def __init__(self, replica: Replica, told: Collection[str]) -> None:
+        self.replica, self.told = replica, told
 
     def __contains__(self, name: object) -> bool:
         if not isinstance(name, str):
             return False
-        if self.copy.head is None:
+        if self.replica.head is None:
             return name in self.told
         try:
-            return self.copy.table.has("tenant", name)
+            return self.replica.table.has("tenant", name)
         except UnicodeEncodeError:  # what UTF-8 can't have is no tenant's
             return False
 
     def __bool__(self) -> bool:
         # In force, a table without any tenant serves none; a configuration without any serves all.
-        return self.copy.head is not None or bool(self.told)
+        return self.replica.head is not None or bool(self.told)
 
     def __len__(self) -> int:
-        return self.copy.table.count("tenant") if self.copy.head is not None else len(self.told)
+        return self.replica.table.count("tenant") if self.replica.head is not None else len(self.told)
 
     def __iter__(self) -> Iterator[str]:
         raise NotImplementedError("as many as there may be are not gone through")
@@ -105,8 +105,8 @@
     """What all tenants' portions come to: counted through the table some at a time, again some minutes
     after a change. Until then each is taken for one."""
 
-    def __init__(self, copy: Copy) -> None:
-        self.copy = copy
+    def __init__(self, replica: Replica) -> None:
+        self.replica = replica
         self.whole = 0.0
         self.sum, self.bucket = 0.0, -1  # the counting under way; no bucket: none is
         self.after: Place | None = None
@@ -115,7 +115,7 @@
 
     def step(self, now: int) -> None:
         """Once a tick: a bounded part."""
-        head, table = self.copy.head, self.copy.table
+        head, table = self.replica.head, self.replica.table
         if head is None:
             return
         if self.bucket < 0:
@@ -141,10 +141,10 @@
                 return
 
     def share(self, name: str) -> float | None:
-        value = self.copy.table.get("tenant", name)
+        value = self.replica.table.get("tenant", name)
         if value is None:
             return None
-        whole = self.whole or float(self.copy.table.count("tenant"))
+        whole = self.whole or float(self.replica.table.count("tenant"))
         return min(1.0, portion_of(value) / whole) if whole else 1.0
 
 
@@ -174,9 +174,9 @@
         self.seals = Keys(Path(part.key_file), part.keys, "seals")
         self.signing = Keys(Path(part.signing_key_file), part.signing_keys, "signing")
         scopes = ("", part.region)
-        self.copy: Copy = distribution.Copy(distribution.Table(scopes), self.signing.keys)
+        self.replica: Replica = distribution.Replica(distribution.Table(scopes), self.signing.keys)
         self.follower: Follower = distribution.Follower(
-            self.copy,
+            self.replica,
             name,
             life,
             part.region,
@@ -187,7 +187,7 @@
             self.clock(),
         )
         self.endpoint = Endpoint(sock, self.hear)
-        self.telling, self.portions = Telling(self.copy), Portions(self.copy)
+        self.telling, self.portions = Telling(self.replica), Portions(self.replica)
         self.state = self.follower.state
         self.looked_at = 0
         self.counting = False  # whether anybody asks for shares
@@ -197,13 +197,13 @@
 
     def tenants(self, told: Mapping[str, float]) -> Collection[str]:
         self.told = told
-        return Tenants(self.copy, told)
+        return Tenants(self.replica, told)
 
     def share(self, told: Mapping[str, float]) -> Callable[[str], float | None]:
         self.counting = True
         whole = sum(told.values()) or 1.0
         own = {name: portion / whole for name, portion in told.items()}
-        return lambda name: self.portions.share(name) if self.copy.head is not None else own.get(name)
+        return lambda name: self.portions.share(name) if self.replica.head is not None else own.get(name)
 
     async def open(self) -> None:
         await self.endpoint.open()
@@ -216,10 +216,10 @@
         )
         self.task = self.tasks.start(self.keep(), "distribution")
         began = self.clock()
-        while self.copy.head is None and not self.leaving() and self.clock() - began < self.part.wait_ms * MS:
+        while self.replica.head is None and not self.leaving() and self.clock() - began < self.part.wait_ms * MS:
             await rest(MOMENT)
         self.telling.look()
-        if self.copy.head is None:
+        if self.replica.head is None:
             log.warning(
                 "event=distribution-not-in-force waited_ms=%d tenants=%d detail='the configuration file holds"
                 " until a first sync'",
@@ -269,7 +269,7 @@
         if self.seals.changed():
             self.follower.keys = self.seals.keys
         if self.signing.changed():
-            self.copy.keys = self.signing.keys
+            self.replica.keys = self.signing.keys
         self.endpoint.tell_refusals(now // SECOND, self.follower.refusals)
         if self.part.state_file is not None:
             from ..distribution.telling import write_state
@@ -286,7 +286,7 @@
             "region": self.part.region,
             "address": self.endpoint.address,
             **summary(self.follower, now),
-            **held(self.copy),
+            **held(self.replica),
         }
 
     # For whoever reads metrics.
@@ -298,16 +298,16 @@
 
     def gauges(self) -> dict[str, float]:
         """The age is NaN where nothing is in force."""
-        head, age = self.copy.head, self.follower.age(self.clock())
+        head, age = self.replica.head, self.follower.age(self.clock())
         return {
             "state": float(self.follower.state),
             "in_force": float(head is not None),
             "epoch": float(head.epoch) if head else 0.0,
             "revision": float(head.revision) if head else 0.0,
             "age_seconds": age / 1000 if age is not None else float("nan"),
-            "tenants": float(self.copy.table.count("tenant")),
-            "routes": float(self.copy.table.count("route")),
-            "settings": float(self.copy.table.count("setting")),
+            "tenants": float(self.replica.table.count("tenant")),
+            "routes": float(self.replica.table.count("route")),
+            "settings": float(self.replica.table.count("setting")),
         }
 
     def close(self) -> None:
--- a/tests/distribution_world.py
+++ b/tests/distribution_world.py
@@ -16,7 +16,7 @@
 import msgpack
 
 from burlloom.distribution import (
-    Change, Copy, Entry, Follower, Head, Source, Table, Terms, Upstream, first_head, propose, to_source)
+    Change, Replica, Entry, Follower, Head, Source, Table, Terms, Upstream, first_head, propose, to_source)
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -108,7 +108,7 @@
         self.up = self.paused = False
         self.inbox: list[tuple[bytes, tuple[str, int]]] = []
         self.store = True  # within reach
-        self.copy: Copy
+        self.replica: Replica
         self.follower: Follower | None = None
         self.source: Source | None = None
         self.lives = 0
@@ -125,37 +125,37 @@
         self.up, self.paused, self.seen, self.settled, self.read_at = True, False, (0, 0), 0, -1
         self.inbox, self.keys = [], {}
         self.follower = self.source = None
-        self.copy = Copy(Table(None if self.control else tuple({"", self.region})), [SIGN], world.log_most)
+        self.replica = Replica(Table(None if self.control else tuple({"", self.region})), [SIGN], world.log_most)
         chance = Random(world.chance.random())
         if self.control:
-            self.source = Source(self.copy, self.name, life, (SEAL,), world.terms, chance, world.now, self.store_age)
+            self.source = Source(self.replica, self.name, life, (SEAL,), world.terms, chance, world.now, self.store_age)
         else:
-            self.follower = Follower(self.copy, self.name, life, self.region, self.upstreams(), (SEAL,), world.terms,
+            self.follower = Follower(self.replica, self.name, life, self.region, self.upstreams(), (SEAL,), world.terms,
                 chance, world.now)
             if self.relays:
-                self.source = Source(self.copy, self.name, life, (SEAL,), world.terms, chance, world.now,
+                self.source = Source(self.replica, self.name, life, (SEAL,), world.terms, chance, world.now,
                     self.follower.age)
 
     def store_age(self, now: int) -> int | None:
         return None if self.read_at < 0 else (now - self.read_at) // MS
 
     def read(self) -> None:
-        truth, copy = self.world.truth, self.copy
+        truth, replica = self.world.truth, self.replica
         if not self.store:
             return
-        if copy.head is None or copy.head.epoch != truth.epoch:
-            held = copy.table.page  # a new table, as a restart would make it
+        if replica.head is None or replica.head.epoch != truth.epoch:
+            held = replica.table.page  # a new table, as a restart would make it
             assert held is not None
             fresh = truth.load()
-            gone = [Entry(*entry[:3], None) for entry in self.all_of(copy.table)
+            gone = [Entry(*entry[:3], None) for entry in self.all_of(replica.table)
                     if entry[:3] not in truth.entries]
             for at in range(0, len(fresh), 64):
-                copy.table.put(fresh[at:at + 64])
+                replica.table.put(fresh[at:at + 64])
             for at in range(0, len(gone), 64):
-                copy.table.put(gone[at:at + 64])
-            copy.begin(truth.heads[truth.epoch, truth.revision])
-        while (truth.epoch, copy.head.revision + 1) in truth.changes:
-            reason = copy.take(truth.changes[truth.epoch, copy.head.revision + 1])
+                replica.table.put(gone[at:at + 64])
+            replica.begin(truth.heads[truth.epoch, truth.revision])
+        while (truth.epoch, replica.head.revision + 1) in truth.changes:
+            reason = replica.take(truth.changes[truth.epoch, replica.head.revision + 1])
             assert reason is None, reason
         self.read_at = self.world.now
 
@@ -271,8 +271,8 @@
         self.now = until
 
     def check(self, node: Node) -> None:
-        copy, truth, follower = node.copy, self.truth, node.follower
-        head = copy.head
+        replica, truth, follower = node.replica, self.truth, node.follower
+        head = replica.head
         if head is None or not self.checks:
             return
         key = head.epoch, head.revision
@@ -291,27 +291,27 @@
                 node.in_force.setdefault((head.epoch, revision), self.now)
         if follower is not None:
             node.settled = follower.counts.settled
-        if copy.whole:
-            assert copy.table.digest() == truth.digest(key, copy.table.scopes), ("another table", where)
-        if not copy.patched or follower is not None and follower.patched_to[0] == key[0]:
+        if replica.whole:
+            assert replica.table.digest() == truth.digest(key, replica.table.scopes), ("another table", where)
+        if not replica.patched or follower is not None and follower.patched_to[0] == key[0]:
             for name in self.watch:
-                held = copy.table.get("tenant", name)
+                held = replica.table.get("tenant", name)
                 number = msgpack.unpackb(held)["n"] if held is not None else 0
                 assert number >= node.keys.get(name, 0), ("a key went back", name, where)
                 node.keys[name] = number
         if follower is not None:
             age = follower.age(self.now)
             newest = truth.newest_at(key)
-            if newest is not None and age is not None and not copy.patched:
+            if newest is not None and age is not None and not replica.patched:
                 assert age >= (self.now - newest) // MS - 1, ("younger than it is", age, where)
 
     def agreed(self, names: Iterable[str] | None = None) -> list[str]:
         """Who does not hold the truth."""
         head = self.truth.head
         return [name for name in names or self.nodes if self.nodes[name].up and not self.nodes[name].paused
-                and (self.nodes[name].copy.head != head or not self.nodes[name].copy.whole
-                     or self.nodes[name].copy.table.digest() != self.truth.digest(head[:2],
-                         self.nodes[name].copy.table.scopes))]
+                and (self.nodes[name].replica.head != head or not self.nodes[name].replica.whole
+                     or self.nodes[name].replica.table.digest() != self.truth.digest(head[:2],
+                         self.nodes[name].replica.table.scopes))]
 
     def spend(self) -> dict[str, list[int]]:
         return {name: node.spent[:] for name, node in self.nodes.items()}
--- a/tests/explore_distribution.py
+++ b/tests/explore_distribution.py
@@ -1,7 +1,7 @@
 """Walks every history of one source and one follower: messages late, lost, doubled, out of order, a forged change,
 either side started again, the source also with a copy that is behind, and a new epoch.
 
-Source, Follower and Copy are those of burlloom.distribution, with a table of a few keys. What is true is kept
+Source, Follower and Replica are those of burlloom.distribution, with a table of a few keys. What is true is kept
 here: the head and the table at each revision. In each world that is met:
 
 - a head of the follower is a true one, and never goes back in one life;
@@ -21,9 +21,9 @@
 import msgpack
 import xxhash
 
-from burlloom.distribution import Change, Copy, Entry, Follower, Head, Source, Terms, Upstream, first_head, propose
+from burlloom.distribution import Change, Replica, Entry, Follower, Head, Source, Terms, Upstream, first_head, propose
 from burlloom.distribution import follower as following
-from burlloom.distribution import state as copying
+from burlloom.distribution import replica as replicating
 from burlloom.distribution.changes import break_of
 from burlloom.distribution.messages import to_source
 from burlloom.distribution.table import BUCKETS, Page, Place, bucket_of
@@ -151,16 +151,16 @@
         last = max(key for key in self.heads if key[0] == epoch)[1] - behind
         few = Few()
         few.held = dict(self.tables[epoch, last])
-        copy: Any = Copy(few, [SIGN])  # type: ignore[arg-type]
-        copy.begin(self.heads[epoch, last])
-        self.source = Source(copy, "source", self.source_lives, (SEAL,), self.terms, Still(0), self.now,
+        replica: Any = Replica(few, [SIGN])  # type: ignore[arg-type]
+        replica.begin(self.heads[epoch, last])
+        self.source = Source(replica, "source", self.source_lives, (SEAL,), self.terms, Still(0), self.now,
             age_of(behind or epoch != self.epoch))
 
     def start_follower(self, newcomer: bool) -> None:
-        copy: Any = Copy(Few(), [SIGN])  # type: ignore[arg-type]
+        replica: Any = Replica(Few(), [SIGN])  # type: ignore[arg-type]
         if not newcomer:
-            copy.begin(self.heads[1, 0])
-        self.follower = Follower(copy, "follower", self.lives, "", [Upstream("source", "", NOWHERE)], (SEAL,), self.terms,
+            replica.begin(self.heads[1, 0])
+        self.follower = Follower(replica, "follower", self.lives, "", [Upstream("source", "", NOWHERE)], (SEAL,), self.terms,
             Still(0), self.now)
         self.high, self.low = (0, 0), {}
 
@@ -172,11 +172,11 @@
         other.flying, other.low = self.flying[:], dict(self.low)
         other.source, other.follower = twin(self.source), twin(self.follower)
         for side in (other.source, other.follower):
-            side.copy = twin(side.copy)
-            side.copy.table = twin(side.copy.table)
-            side.copy.table.held = dict(side.copy.table.held)  # type: ignore[attr-defined]
-            side.copy.log = twin(side.copy.log)
-            side.copy.log.kept = deque(side.copy.log.kept)
+            side.replica = twin(side.replica)
+            side.replica.table = twin(side.replica.table)
+            side.replica.table.held = dict(side.replica.table.held)  # type: ignore[attr-defined]
+            side.replica.log = twin(side.replica.log)
+            side.replica.log.kept = deque(side.replica.log.kept)
             side.out, side.counts, side.refusals = deque(side.out), twin(side.counts), deque()
             side.counts.refused = {}
         one, two = other.source, other.follower
@@ -195,12 +195,12 @@
 
     def key(self) -> Any:
         one, two = self.source, self.follower
-        sync, head = two.sync, two.copy.head
+        sync, head = two.sync, two.replica.head
         return (self.now, self.lives, self.source_lives, self.epoch, tuple(self.heads), tuple(sorted(self.left.items())),
             tuple(sorted(self.flying)), self.high,
-            one.copy.head, one.copy.log.base, len(one.copy.log), one.pushed, int(one.tokens),
+            one.replica.head, one.replica.log.base, len(one.replica.log), one.pushed, int(one.tokens),
             tuple((lease.life, lease.until, lease.window.highest, lease.window.seen) for lease in one.followers.values()),
-            two.state, head, two.copy.patched, tuple(sorted(two.copy.table.held.items())),  # type: ignore[attr-defined]
+            two.state, head, two.replica.patched, tuple(sorted(two.replica.table.held.items())),  # type: ignore[attr-defined]
             two.number, two.answered, two.tried, two.told, two.told_number, two.latest, two.heard_at, two.report_at,
             tuple(two.reports.items()), tuple(sorted(two.early)), two.pull_number, two.pulled_at, two.pulled_to, two.pull_again,
             two.refused_row, two.patched_to, two.judged, two.sure_at, tuple(two.words),
@@ -224,7 +224,7 @@
 
     def fault(self) -> str:
         """The rule that does not hold; empty where all do."""
-        copy, head = self.follower.copy, self.follower.copy.head
+        replica, head = self.follower.replica, self.follower.replica.head
         if head is None:
             return ""
         key = head.epoch, head.revision
@@ -235,17 +235,17 @@
         if key[0] != self.high[0]:
             self.low.clear()
         self.high = key
-        held = copy.table.held  # type: ignore[attr-defined]
-        if copy.whole and held != self.tables[key]:
+        held = replica.table.held  # type: ignore[attr-defined]
+        if replica.whole and held != self.tables[key]:
             return "a table that is another"
-        if not copy.patched or self.follower.patched_to[0] == key[0]:
+        if not replica.patched or self.follower.patched_to[0] == key[0]:
             for place in {*held, *self.low}:
                 number = msgpack.unpackb(held[place])["n"] if place in held else 0
                 if number < self.low.get(place, 0):
                     return "a key that went back"
                 self.low[place] = number
         age, newest = self.follower.age(self.now), self.born.get((key[0], key[1] + 1), self.ended.get(key[0]))
-        if newest is not None and age is not None and not copy.patched and age < (self.now - newest) // MS:
+        if newest is not None and age is not None and not replica.patched and age < (self.now - newest) // MS:
             return "an age that is too young"
         return ""
 
@@ -280,7 +280,7 @@
         match what:
             case "change":
                 world.append()
-                if world.source.copy.head is not None:
+                if world.source.replica.head is not None:
                     self.catch_up(world)
             case "beat":
                 world.now += SECOND
@@ -314,7 +314,7 @@
                 world.source_lives += 1
                 world.start_source(0, world.epoch - 1)
             case "forge":
-                head = world.follower.copy.head
+                head = world.follower.replica.head
                 if head is not None:
                     one = propose(head, "", [Entry("", "tenant", "x", value(7777))], 1, b"another key" * 2)
                     world.flying.append(following_seal(one))
@@ -323,12 +323,12 @@
 
     def catch_up(self, world: World) -> None:
         """The control machine reads the store."""
-        copy = world.source.copy
-        assert copy.head is not None
-        if copy.head.epoch != world.epoch:
+        replica = world.source.replica
+        assert replica.head is not None
+        if replica.head.epoch != world.epoch:
             return
-        while copy.head.revision < world.revision:
-            assert copy.take(world.changes[world.epoch, copy.head.revision + 1]) is None
+        while replica.head.revision < world.revision:
+            assert replica.take(world.changes[world.epoch, replica.head.revision + 1]) is None
         world.source.age = age_of(0)
 
     def walk(self, most: int, calm_each: int = 50) -> tuple[int, str, bool]:
@@ -376,7 +376,7 @@
         """Nothing is lost any more: within some beats the follower has what the source has."""
         self.calm += 1
         world = before.copy()
-        if world.source.copy.head is not None and world.source.copy.head.epoch != world.epoch:
+        if world.source.replica.head is not None and world.source.replica.head.epoch != world.epoch:
             world.source_lives += 1
             world.start_source(0)
         self.catch_up(world)
@@ -387,8 +387,8 @@
                 world.gather(1 << 20)
                 if fault := world.fault():
                     return fault
-            copy = world.follower.copy
-            if copy.whole and copy.head == world.source.copy.head:
+            replica = world.follower.replica
+            if replica.whole and replica.head == world.source.replica.head:
                 return ""
             world.now += SECOND // 2
             world.source.tick(world.now)
@@ -416,7 +416,7 @@
         for revision in sorted(self.early):
             change = self.early.pop(revision)
             if tip is not None and self.sync is None and revision > tip.revision:
-                self.copy.take(change)
+                self.replica.take(change)
         return ""
 
     def unfolded(self: Follower, sync: Any, change: Change) -> str:
@@ -433,16 +433,16 @@
         return "" if reason == "an older epoch" else reason
 
     def other_epoch(self: Follower) -> bool:
-        own = self.copy.head
+        own = self.replica.head
         return APART(self) or self.told is not None and own is not None and self.told.head.epoch != own.epoch
 
     def any_base(self: Follower, now: int, message: Any) -> str:
-        own, self.copy.head = self.copy.head, None
+        own, self.replica.head = self.replica.head, None
         try:
             return DIGESTS_CAME(self, now, message)
         finally:
-            if self.copy.head is None:
-                self.copy.head = own
+            if self.replica.head is None:
+                self.replica.head = own
 
     def older_base(self: Follower, now: int, message: Any) -> str:
         self.patched_to = 0, 0
@@ -465,10 +465,10 @@
             case "":
                 yield
             case "gap":
-                with patch.object(copying, "break_of", gap), patch.object(Follower, "drain", gap_drain):
+                with patch.object(replicating, "break_of", gap), patch.object(Follower, "drain", gap_drain):
                     yield
             case "chain":
-                with patch.object(copying, "break_of", unchained), patch.object(following, "break_of", unchained):
+                with patch.object(replicating, "break_of", unchained), patch.object(following, "break_of", unchained):
                     yield
             case "replay":
                 with patch.object(Follower, "fold", unfolded):
--- a/tests/planted_host.py
+++ b/tests/planted_host.py
@@ -21,15 +21,16 @@
 
 
 def gap() -> None:
-    from burlloom.distribution import follower, state
+    from burlloom.distribution import follower
+    from burlloom.distribution import replica as replicating
 
     def takes_any(one: follower.Follower, now: int) -> str:
         for revision in sorted(one.early):
             change = one.early.pop(revision)
             if one.sync is None:
-                one.copy.take(change)
+                one.replica.take(change)
         return ""
-    state.break_of = lambda before, change, keys: "" if change.revision > before.revision else "an older revision"
+    replicating.break_of = lambda before, change, keys: "" if change.revision > before.revision else "an older revision"
     sound, follower.Follower.changed = follower.Follower.changed, loses_some  # type: ignore[method-assign]
     follower.Follower.drain = takes_any  # type: ignore[method-assign]
     loses_some.sound = sound  # type: ignore[attr-defined]
@@ -42,19 +43,19 @@
 
 
 def content() -> None:
-    from burlloom.distribution import state
+    from burlloom.distribution import replica as replicating
     from burlloom.distribution.source import Source
     Source.differs = lambda source, body: False  # type: ignore[method-assign]
-    sound, followers = state.Copy.put, list[Any]()
+    sound, followers = replicating.Replica.put, list[Any]()
 
-    def put(copy: Any, change: Any) -> str:
-        if copy.table.scopes is not None and copy not in followers:
-            followers.append(copy)
-        if copy in followers[:2] and change.scope == "":
-            copy.log.add(change, 0)
+    def put(replica: Any, change: Any) -> str:
+        if replica.table.scopes is not None and replica not in followers:
+            followers.append(replica)
+        if replica in followers[:2] and change.scope == "":
+            replica.log.add(change, 0)
             return ""
-        return sound(copy, change)
-    state.Copy.put = put  # type: ignore[method-assign]
+        return sound(replica, change)
+    replicating.Replica.put = put  # type: ignore[method-assign]
 
 
 PLANTED = {"share": share, "gap": gap, "content": content}
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -140,7 +140,7 @@
                                   "prometheus_client")),
     ("burlloom.record.fate, burlloom.record.budget, burlloom.record.rows, burlloom.record.recovery",
      ("asyncio", "sqlite3", "asyncpg", "burlloom.record.keeper", "burlloom.server", "burlloom.desk")),
-    ("burlloom.distribution.stores.opening, burlloom.distribution.stores.sqlite, burlloom.distribution.state",
+    ("burlloom.distribution.stores.opening, burlloom.distribution.stores.sqlite, burlloom.distribution.replica",
      ("burlloom.server", "burlloom.rpc", "burlloom.executor", "burlloom.catalogue", "burlloom.naming", "asyncpg",
       "pydantic", "click")),
 ])
--- a/tests/test_distributing.py
+++ b/tests/test_distributing.py
@@ -13,7 +13,7 @@
 
 from burlloom.distribution.changes import Change, Entry, Head, chained, encode, first_head
 from burlloom.distribution.log import LOG_MOST
-from burlloom.distribution.state import Copy
+from burlloom.distribution.replica import Replica
 from burlloom.distribution.stores.reading import Broken, Reading
 from burlloom.distribution.stores.sqlite import Sqlite
 from burlloom.distribution.table import Table
@@ -31,8 +31,8 @@
     return Entry("", "tenant", name, msgpack.packb(value))
 
 
-def copy(*entries: Entry) -> Copy:
-    made = Copy(Table(("", "north")), (SIGNING,))
+def replica(*entries: Entry) -> Replica:
+    made = Replica(Table(("", "north")), (SIGNING,))
     made.begin(first_head(1, 0), entries)
     return made
 
@@ -42,7 +42,7 @@
 
 
 def test_requests_are_held_against_the_tenants_in_force() -> None:
-    held = Copy(Table(("", "north")), (SIGNING,))
+    held = Replica(Table(("", "north")), (SIGNING,))
     known = Known({"look": False}, Tenants(held, {"acme": 1.0}), 6 * SECOND)
     told = fields()
     now = int(told["at"]) * 1_000_000
@@ -65,11 +65,11 @@
     )
     assert held.take(change(held.head or first_head(1, 0), Entry("", "tenant", "blue", None))) is None
     assert not serves("blue"), "a table without any tenant serves none"
-    assert not Tenants(Copy(Table(("",)), ()), {}), "a configuration without any serves all"
+    assert not Tenants(Replica(Table(("",)), ()), {}), "a configuration without any serves all"
 
 
 def test_shares_follow_the_table() -> None:
-    held = copy(
+    held = replica(
         tenant("a", portion=3),
         tenant("b"),
         tenant("odd", portion="many"),
@@ -119,7 +119,7 @@
 
 def test_a_store_is_followed(tmp_path: Path) -> None:
     async def play() -> None:
-        store, held, told = Sqlite(tmp_path / "changes.db"), Copy(Table(None), (SIGNING,)), Told()
+        store, held, told = Sqlite(tmp_path / "changes.db"), Replica(Table(None), (SIGNING,)), Told()
         await store.open()
 
         async def put(*entries: Entry, key: bytes = SIGNING) -> None:
@@ -187,7 +187,7 @@
 
 
 def test_lines_tell_what_was_applied(caplog: pytest.LogCaptureFixture) -> None:
-    held = Copy(Table(("", "north")), (SIGNING,))
+    held = Replica(Table(("", "north")), (SIGNING,))
     telling = Telling(held)
     with caplog.at_level(logging.INFO):
         telling.look()
--- a/tests/test_distribution_core.py
+++ b/tests/test_distribution_core.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from burlloom.distribution import (
-    Change, Copy, Entry, Follower, Head, Refused, Source, Table, Terms, Upstream, first_head, propose, to_source)
+    Change, Replica, Entry, Follower, Head, Refused, Source, Table, Terms, Upstream, first_head, propose, to_source)
 from burlloom.distribution import messages as m
 from burlloom.distribution.changes import (
     BODY_MOST, ENTRIES_MOST, KEY_MOST, NUMBER_MOST, VALUE_MOST, chained, decode, encode, faults, head_of)
@@ -37,10 +37,10 @@
     return found
 
 
-def empty(scopes: tuple[str, ...] | None = ("", "a"), epoch: int = 1) -> Copy:
-    copy = Copy(Table(scopes), [SIGN])
-    copy.begin(first_head(epoch, 0))
-    return copy
+def empty(scopes: tuple[str, ...] | None = ("", "a"), epoch: int = 1) -> Replica:
+    replica = Replica(Table(scopes), [SIGN])
+    replica.begin(first_head(epoch, 0))
+    return replica
 
 
 # The chain.
@@ -49,12 +49,12 @@
 def test_a_chain_is_taken_in_order_and_in_no_other() -> None:
     listed = history(4)
     for order in permutations(listed):
-        copy = empty()
-        taken = [one.revision for one in order if copy.take(one) is None]
+        replica = empty()
+        taken = [one.revision for one in order if replica.take(one) is None]
         assert taken == list(range(1, len(taken) + 1))
         for one in listed[len(taken):]:
-            assert copy.take(one) is None
-        assert copy.head == head_of(listed[-1])
+            assert replica.take(one) is None
+        assert replica.head == head_of(listed[-1])
 
 
 @pytest.mark.parametrize(("what", "reason"), [
@@ -65,46 +65,46 @@
     ({"body": None}, "body: left out, and the scope is held here"),
     ({"body": None, "body_digest": bytes(16)}, "its tag does not follow")])
 def test_an_altered_change_is_refused_whole(what: dict[str, Any], reason: str) -> None:
-    copy, (first, then) = empty(), history(2)
-    assert copy.take(first) is None
-    before = copy.head, copy.table.digest(), len(copy.log)
-    assert copy.take(then._replace(**what)) == reason
-    assert (copy.head, copy.table.digest(), len(copy.log)) == before
-    assert copy.take(then) is None
+    replica, (first, then) = empty(), history(2)
+    assert replica.take(first) is None
+    before = replica.head, replica.table.digest(), len(replica.log)
+    assert replica.take(then._replace(**what)) == reason
+    assert (replica.head, replica.table.digest(), len(replica.log)) == before
+    assert replica.take(then) is None
 
 
 def test_each_bit_of_a_change_is_under_the_chain() -> None:
-    copy, (one,) = empty(), history(1)
+    replica, (one,) = empty(), history(1)
     assert one.body is not None
     for field in ("body", "tag", "body_digest"):
         held = getattr(one, field)
         for bit in range(8 * len(held)):
             other = bytearray(held)
             other[bit // 8] ^= 1 << bit % 8
-            assert copy.take(one._replace(**{field: bytes(other)}))
-    assert copy.head is not None and copy.head.revision == 0 and copy.take(one) is None
+            assert replica.take(one._replace(**{field: bytes(other)}))
+    assert replica.head is not None and replica.head.revision == 0 and replica.take(one) is None
 
 
 def test_a_foreign_signing_key_is_refused_and_a_second_one_of_ours_is_not() -> None:
     foreign = propose(first_head(1, 0), "", [Entry("", "tenant", "t", value(1))], 1, b"another key" * 2)
     assert empty().take(foreign) == "its tag does not follow"
-    copy = Copy(Table(None), [SIGN, b"another key" * 2])
-    copy.begin(first_head(1, 0))
-    assert copy.take(foreign) is None
-    assert copy.take(propose(head_of(foreign), "", [Entry("", "tenant", "t", value(2))], 1, SIGN)) is None
+    replica = Replica(Table(None), [SIGN, b"another key" * 2])
+    replica.begin(first_head(1, 0))
+    assert replica.take(foreign) is None
+    assert replica.take(propose(head_of(foreign), "", [Entry("", "tenant", "t", value(2))], 1, SIGN)) is None
 
 
 def test_the_body_of_another_scope_may_be_left_out_and_the_chain_holds() -> None:
-    copy, listed, head = empty(("", "a")), [], first_head(1, 0)
+    replica, listed, head = empty(("", "a")), [], first_head(1, 0)
     for number, scope in enumerate(["", "b", "a", "b", ""]):
         listed.append(propose(head, scope, [Entry(scope, "tenant", "t", value(number))], number, SIGN))
         head = head_of(listed[-1])
     for one in listed:
-        assert copy.take(one.without_body() if one.scope == "b" else one) is None
-    assert copy.table.get("tenant", "t") == value(2) and copy.head == head
+        assert replica.take(one.without_body() if one.scope == "b" else one) is None
+    assert replica.table.get("tenant", "t") == value(2) and replica.head == head
     with_bodies = empty(("", "a"))
     assert [with_bodies.take(one) for one in listed] == [None] * 5
-    assert with_bodies.table.digest() == copy.table.digest()
+    assert with_bodies.table.digest() == replica.table.digest()
 
 
 # Bad changes.
@@ -146,20 +146,20 @@
     (b"\xdc\xff\xff", "body: no MessagePack"), (b"\x91" * 900, "body: no MessagePack"),
     (msgpack.packb([["tenant", "t", value(1)]]) + b"\x00", "body: no MessagePack"), (b"x" * 1001, "body: 1001 bytes")])
 def test_a_bad_body_is_refused_whole_at_a_copy_though_its_chain_holds(body: bytes, fault: str) -> None:
-    copy = empty()
+    replica = empty()
     one = chained(first_head(1, 0), "", body, 1, SIGN)
-    before = copy.table.digest()
-    assert (copy.take(one) or "").startswith(fault)
-    assert copy.table.digest() == before and copy.head == first_head(1, 0) and len(copy.log) == 0
+    before = replica.table.digest()
+    assert (replica.take(one) or "").startswith(fault)
+    assert replica.table.digest() == before and replica.head == first_head(1, 0) and len(replica.log) == 0
 
 
 def test_a_table_that_refuses_leaves_the_copy_as_it_was(monkeypatch: pytest.MonkeyPatch) -> None:
     def refuses(entries: Any) -> None:
         raise ValueError("full")
-    copy, (one,) = empty(), history(1)
-    monkeypatch.setattr(copy.table, "put", refuses)
-    assert copy.take(one) == "the table refuses: full"
-    assert copy.head == first_head(1, 0) and len(copy.log) == 0
+    replica, (one,) = empty(), history(1)
+    monkeypatch.setattr(replica.table, "put", refuses)
+    assert replica.take(one) == "the table refuses: full"
+    assert replica.head == first_head(1, 0) and len(replica.log) == 0
 
 
 def test_times_never_step_back_along_the_chain() -> None:
@@ -183,21 +183,21 @@
 
 
 def test_the_log_tells_earlier_digests_and_forgets_the_oldest() -> None:
-    copy, chance, told = Copy(Table(None), [SIGN], 10), Random(1), {}
-    copy.begin(first_head(1, 0))
+    replica, chance, told = Replica(Table(None), [SIGN], 10), Random(1), {}
+    replica.begin(first_head(1, 0))
     for number in range(1, 41):
         scope = chance.choice(["", "a", "b"])
-        assert copy.head is not None
-        assert copy.take(propose(copy.head, scope, [Entry(scope, "route", f"r{chance.randrange(4)}",
+        assert replica.head is not None
+        assert replica.take(propose(replica.head, scope, [Entry(scope, "route", f"r{chance.randrange(4)}",
             value(number) if chance.random() < 0.8 else None)], number, SIGN)) is None
-        told[number] = [copy.digest_of(scopes) for scopes in (("", "a"), ("b",), None)]
+        told[number] = [replica.digest_of(scopes) for scopes in (("", "a"), ("b",), None)]
     for number in range(1, 41):
         for at, scopes in enumerate([("", "a"), ("b",), None]):
-            assert copy.digest_at(number, scopes) == (told[number][at] if number >= 30 else None)
-    assert copy.digest_at(41, None) is None
-    assert [one.revision for one in copy.log.since(30, 4) or ()] == [31, 32, 33, 34]
-    assert copy.log.since(29, 4) is None and copy.log.since(40, 4) == [] == copy.log.since(99, 4)
-    assert len(copy.log) == 10 and Log(5).since(5, 1) == []
+            assert replica.digest_at(number, scopes) == (told[number][at] if number >= 30 else None)
+    assert replica.digest_at(41, None) is None
+    assert [one.revision for one in replica.log.since(30, 4) or ()] == [31, 32, 33, 34]
+    assert replica.log.since(29, 4) is None and replica.log.since(40, 4) == [] == replica.log.since(99, 4)
+    assert len(replica.log) == 10 and Log(5).since(5, 1) == []
 
 
 # Messages.
@@ -484,7 +484,7 @@
         change(world, 8)
         world.run(0.05)
         states.add(node.follower.state)
-        heads.add(node.copy.head)
+        heads.add(node.replica.head)
     world.run(10)
     assert {State.EMPTY, State.SYNCING, State.CURRENT} <= states and len(heads) > 20
     assert not world.agreed() and node.follower.counts.syncs == 1
@@ -500,9 +500,9 @@
     assert node.follower is not None and not world.agreed()
     pages = node.follower.counts.pages
     world.checks = False
-    node.copy.table.put([Entry("", "tenant", "old-7", value(8))])
-    node.copy.table.put([Entry("", "tenant", "old-9", None)])
-    node.copy.table.put([Entry("a", "tenant", "stranger", value(8))])
+    node.replica.table.put([Entry("", "tenant", "old-7", value(8))])
+    node.replica.table.put([Entry("", "tenant", "old-9", None)])
+    node.replica.table.put([Entry("a", "tenant", "stranger", value(8))])
     world.run(3)
     assert not world.agreed() and node.follower.counts.mended == 403
     assert node.follower.counts.pages - pages <= 6 and node.follower.counts.settled == 2
@@ -519,7 +519,7 @@
     assert not world.agreed()
     world.checks = False
     for at, name in enumerate(["relay-a0", "relay-b1"]):
-        world.nodes[name].copy.table.put([Entry("", "tenant", f"old-{at}", value(77))])
+        world.nodes[name].replica.table.put([Entry("", "tenant", f"old-{at}", value(77))])
     world.run(15)
     assert not world.agreed()
 
@@ -564,19 +564,19 @@
     change(world)
     world.run(5)
     node, control = world.nodes["server-0"], world.nodes["control-a0"]
-    held = node.copy.table.digest()
+    held = node.replica.table.digest()
     world.checks = False
     other = Truth()
     other.put(0, "", [("tenant", "other", value(1))])
-    control.copy = Copy(Table(None), [SIGN])
-    control.copy.begin(first_head(1, 0))
-    assert control.copy.take(other.changes[1, 1]) is None and control.source is not None
-    control.source.copy, control.store = control.copy, False
+    control.replica = Replica(Table(None), [SIGN])
+    control.replica.begin(first_head(1, 0))
+    assert control.replica.take(other.changes[1, 1]) is None and control.source is not None
+    control.source.replica, control.store = control.replica, False
     world.nodes["control-a0"].turn = lambda: None  # type: ignore[method-assign]
     world.run(30)
     assert node.follower is not None and node.follower.state is State.ALONE
     assert node.follower.counts.refused["another history of this epoch"] > 5
-    assert node.copy.table.digest() == held and (node.follower.age(world.now) or 0) > 25_000
+    assert node.replica.table.digest() == held and (node.follower.age(world.now) or 0) > 25_000
 
 
 # Whom to follow.
@@ -676,12 +676,12 @@
     world.run(5)
     node = world.nodes["server-0"]
     assert node.follower is not None and (node.follower.age(world.now) or 0) < 1500
-    held, before = node.copy.table.digest(), node.copy.head
+    held, before = node.replica.table.digest(), node.replica.head
     world.cut = {(name, "server-0") for name in world.nodes}
     for _ in range(30):
         change(world)
         world.run(1)
-    assert node.follower.state is State.ALONE and node.copy.table.digest() == held and node.copy.head == before
+    assert node.follower.state is State.ALONE and node.replica.table.digest() == held and node.replica.head == before
     told = summary(node.follower, world.now)
     assert told["state"] == "alone" and 29_000 < (node.follower.age(world.now) or 0) < 32_000
     assert told["age_ms"] == node.follower.age(world.now)
@@ -734,15 +734,15 @@
         change(world)
     world.run(5)
     node, control = world.nodes["server-0"], world.nodes["control-a0"]
-    before = node.copy.head
+    before = node.replica.head
     control.start()
     control.store = False
-    control.copy.begin(first_head(1, 0))
+    control.replica.begin(first_head(1, 0))
     for number in (1, 2, 3, 4):
-        assert control.copy.take(world.truth.changes[1, number]) is None
+        assert control.replica.take(world.truth.changes[1, number]) is None
     control.seen = (1, 4)
     world.run(20)
-    assert node.copy.head == before and node.follower is not None and (node.follower.age(world.now) or 0) > 18_000
+    assert node.replica.head == before and node.follower is not None and (node.follower.age(world.now) or 0) > 18_000
     assert node.follower.counts.syncs == 1
     control.store = True
     change(world)
@@ -785,7 +785,7 @@
 
 
 def pair() -> tuple[Source, Follower]:
-    one, two = empty(None), Copy(Table(("", "a")), [SIGN])
+    one, two = empty(None), Replica(Table(("", "a")), [SIGN])
     source = Source(one, "source", LIFE, (SEAL,), Terms(), Random(1), NOW, lambda now: 0)
     follower = Follower(two, "server", LIFE, "a", [Upstream("source", "a", HERE)], (SEAL,), Terms(), Random(1), NOW)
     return source, follower
@@ -809,7 +809,7 @@
     source, follower = pair()
     exchange(source, follower, NOW)
     assert follower.state is State.CURRENT
-    before = follower.copy.head, follower.copy.table.digest(), follower.state
+    before = follower.replica.head, follower.replica.table.digest(), follower.state
     good = seal(Sender("source", LIFE, 0), m.Pushed(history(1)[0]), SEAL)
     text = msgpack.packb([0, 9, "n", 1, 1])
     for data, reason in [(seal(Sender("source", LIFE, 0), m.Pushed(history(1)[0]), b"another key" * 2), "not sealed with our key"),
@@ -824,9 +824,9 @@
         was = follower.counts.refused.get(reason, 0)
         follower.hear(NOW, data, HERE)
         assert follower.counts.refused.get(reason) == was + 1 and follower.refusals[-1] == (reason, HERE)
-        assert (follower.copy.head, follower.copy.table.digest(), follower.state) == before
+        assert (follower.replica.head, follower.replica.table.digest(), follower.state) == before
     follower.hear(NOW, good, HERE)
-    assert follower.copy.head == head_of(history(1)[0])
+    assert follower.replica.head == head_of(history(1)[0])
 
 
 def test_requests_played_again_are_answered_once() -> None:
@@ -846,7 +846,7 @@
 def test_an_answer_to_an_earlier_life_says_nothing_to_a_later_one() -> None:
     source, follower = pair()
     answers = [data for data in exchange(source, follower, NOW) if not to_source(data)]
-    later = Follower(Copy(Table(("", "a")), [SIGN]), "server", LIFE + 5, "a", [Upstream("source", "a", HERE)], (SEAL,),
+    later = Follower(Replica(Table(("", "a")), [SIGN]), "server", LIFE + 5, "a", [Upstream("source", "a", HERE)], (SEAL,),
         Terms(), Random(1), NOW)
     later.tick(NOW)
     for data in answers:
@@ -879,7 +879,7 @@
     source, _ = pair()
     source.terms = Terms(page_rate=10_000, page_burst=5000)
     source.tokens = 5000.0
-    source.copy.table.put([Entry("", "tenant", f"t{at}", msgpack.packb({"x": "y" * 400})) for at in range(250)])
+    source.replica.table.put([Entry("", "tenant", f"t{at}", msgpack.packb({"x": "y" * 400})) for at in range(250)])
     source.hear(NOW, seal(Sender("s", LIFE, 1), m.Report(None, 0, 0, 0), SEAL), HERE)
     heard = 0
     for number in range(300):
@@ -902,25 +902,25 @@
     a revision in force that fell out of the log."""
     source, follower = pair()
     if in_force:
-        follower.copy.begin(first_head(1, 0))
-        source.copy.log.most = 0
+        follower.replica.begin(first_head(1, 0))
+        source.replica.log.most = 0
     listed = history(3)
-    assert source.copy.take(listed[0]) is None
-    source.copy.log.most = 4096
+    assert source.replica.take(listed[0]) is None
+    source.replica.log.most = 4096
     source.push(NOW)
     follower.tick(NOW)
     while follower.out or source.out:
         while follower.out:
             data = follower.out.popleft()[1]
-            if type(unseal(data, (SEAL,)).body) is m.PagesAsk and source.copy.head == head_of(listed[0]):
-                assert source.copy.take(listed[1]) is None and source.copy.take(listed[2]) is None
+            if type(unseal(data, (SEAL,)).body) is m.PagesAsk and source.replica.head == head_of(listed[0]):
+                assert source.replica.take(listed[1]) is None and source.replica.take(listed[2]) is None
             source.hear(NOW, data, HERE)
         while source.out:
             data = source.out.popleft()[1]
             if type(unseal(data, (SEAL,)).body) is not m.Pushed:
                 follower.hear(NOW, data, HERE)
     assert follower.state is State.REPLAYING and follower.sync is not None
-    assert follower.copy.head == (first_head(1, 0) if in_force else None)
+    assert follower.replica.head == (first_head(1, 0) if in_force else None)
     assert follower.sync.base == head_of(listed[0]) and follower.sync.target == 3
     return source, follower
 
@@ -928,13 +928,13 @@
 @pytest.mark.parametrize("in_force", [False, True])
 def test_a_sync_ends_no_earlier_than_the_latest_page_it_had(in_force: bool) -> None:
     source, follower = replaying(in_force)
-    before = follower.copy.head
+    before = follower.replica.head
     two, three = history(3)[1:]
     follower.hear(NOW, seal(Sender("source", LIFE, 0), m.Pushed(two), SEAL), HERE)
-    assert follower.state is State.REPLAYING and follower.copy.head == before
+    assert follower.state is State.REPLAYING and follower.replica.head == before
     follower.hear(NOW, seal(Sender("source", LIFE, 0), m.Pushed(three), SEAL), HERE)
-    assert follower.state is State.CURRENT and follower.copy.head == head_of(three)
-    assert follower.copy.table.digest() == source.copy.table.digest_of(("", "a"))
+    assert follower.state is State.CURRENT and follower.replica.head == head_of(three)
+    assert follower.replica.table.digest() == source.replica.table.digest_of(("", "a"))
 
 
 @pytest.mark.parametrize("in_force", [False, True])
@@ -944,22 +944,22 @@
     source.leave()
     follower.hear(NOW, source.out.popleft()[1], HERE)
     assert follower.state is State.ALONE and follower.patched_to == (1, 3)
-    held = follower.copy.table.digest()
-    behind = Copy(Table(None), [SIGN])
+    held = follower.replica.table.digest()
+    behind = Replica(Table(None), [SIGN])
     behind.begin(first_head(1, 0))
     assert behind.take(history(1)[0]) is None
     other = Source(behind, "source", LIFE + 9, (SEAL,), Terms(), Random(1), NOW, lambda now: None)
     exchange(other, follower, NOW + SECOND)
     if in_force:
-        assert follower.state is State.ALONE and follower.copy.table.digest() == held
+        assert follower.state is State.ALONE and follower.replica.table.digest() == held
         assert follower.counts.refused == {"a base that is older than what is in force": 1}
     else:
-        assert follower.state is State.CURRENT and follower.copy.head == behind.head
+        assert follower.state is State.CURRENT and follower.replica.head == behind.head
     assert behind.take(history(3)[1]) is None and behind.take(history(3)[2]) is None
     other.push(NOW + 2 * SECOND)
     exchange(other, follower, NOW + 2 * SECOND)
-    assert follower.state is State.CURRENT and follower.copy.head == head_of(history(3)[2])
-    assert follower.copy.table.digest() == behind.table.digest_of(("", "a"))
+    assert follower.state is State.CURRENT and follower.replica.head == head_of(history(3)[2])
+    assert follower.replica.table.digest() == behind.table.digest_of(("", "a"))
 
 
 def test_the_table_of_states_is_whole() -> None:
