--- a/benchmarks/scale_request.py
+++ b/benchmarks/scale_request.py
@@ -326,7 +326,8 @@
 
 
 class Rejoins(Members):
-    """It is cut off for so long that it is taken for dead, and healed: that is the moment."""
+    """It is cut off for so long that it is taken for dead, and healed: that is the moment. Where the row says that it was
+    gone to 0% of the others, it was not: nothing but a suspicion was refuted."""
 
     def __init__(self, count: int, times: int, gap: float) -> None:
         super().__init__(count, times, gap)
