--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -1,7 +1,7 @@
 """The scale run: thousands of hollow servers that follow configuration, control machines, and real servers under load, while
 faults are played from a seed and a checker of its own watches.
 
-    python benchmarks/scale_run.py --servers 2600 --control 19 --real 8 --rate 0.4        # some five minutes
+    python benchmarks/scale.py run --servers 2600 --control 19 --real 8 --rate 0.4         # some five minutes
     python benchmarks/scale_run.py --servers 60 --hosts 2 --control 3 --real 2 --pace 0.17    # what the tests play
 
 Churn is sped up 60 times (11,000 restarts and 740 deaths a day over 2,600 servers come to 8.6 a second); cuts of regions last half
