--- a/benchmarks/hollow_hosts.py
+++ b/benchmarks/hollow_hosts.py
@@ -53,7 +53,14 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, *self.main, cwd=ROOT, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
             limit=1 << 26)
-        self.order("begin", seed=seed, cores=self.cores, servers=[row(one) for one in self.servers], record=str(self.record))
+        self.order(
+    "begin",
+    seed=seed,
+    cores=self.cores,
+    servers=[
+        row(one) for one in self.servers],
+        record=str(
+            self.record))
         assert self.process.stdout is not None
         async with asyncio.timeout(PATIENCE):
             told = json.loads(await self.process.stdout.readline())
@@ -98,13 +105,15 @@
 
 
 class Hosts:
-    """All of them. `groups`: of each process, the servers, and what their cores are told. `main`: what Python is to run."""
+    """All of them. `groups`: of each process, the servers, and what their cores are told. `main`: what Python is to
+    run."""
 
     def __init__(self, folder: Path, groups: Sequence[tuple[Sequence[Place], dict[str, Any]]], seed: int,
                  main: Sequence[str] = ("-m", "burlloom.lab.hollow"), opening: int = 100) -> None:
         """`opening`: processes that are started at a time."""
         self.seed, self.opening = seed, asyncio.Semaphore(opening)
-        self.hosts = [Host(f"host{at}", group, cores, folder / f"host{at}.jsonl", main) for at, (group, cores) in enumerate(groups)]
+        self.hosts = [Host(f"host{at}", group, cores, folder / f"host{at}.jsonl", main)
+                           for at, (group, cores) in enumerate(groups)]
         self.by_name = {place.name: (host, place) for host in self.hosts for place in host.servers}
         self.extra: list[list[Any]] = []  # addresses of those in no host, where they are reached
 
@@ -119,7 +128,8 @@
         await asyncio.gather(*(host.close() for host in self.hosts))
 
     def places(self) -> list[list[Any]]:
-        return [[address, *row(place)] for host in self.hosts for place in host.servers for address in host.addresses[place.name].values()]
+        return [[address, *row(place)]
+                               for host in self.hosts for place in host.servers for address in host.addresses[place.name].values()]
 
     def address(self, name: str, kind: str) -> str:
         return self.by_name[name][0].addresses[name][kind]
--- a/benchmarks/scale_checker.py
+++ b/benchmarks/scale_checker.py
@@ -1,13 +1,18 @@
-"""Watches a scale run from outside: imports nothing of the program's, and knows only what was ordered and what was seen.
+"""Watches a scale run from outside: imports nothing of the program's, and knows only what was ordered and what was
+seen.
 
 It is told events in the order of their time, each `[at, name, what, ...]` with `at` in ns:
 
-- of a server: `began`, `ended`, `stands` (for s), `wakes`, `share` (thousandths of a call that it may have in hand; `in hand`, that
+- of a server: `began`, `ended`, `stands` (for s), `wakes`, `share` (thousandths of a call that it may have in hand;
+  `in hand`, that
   it has), `applied` (epoch,
-  revision, a digest of what the change said, or none where that is not for it), `synced` (epoch, revision: what is in force came as a
+  revision, a digest of what the change said, or none where that is not for it), `synced` (epoch, revision: what is
+  in force came as a
   whole), `holds` (at the end: a digest of all that is in force there);
-- of whoever runs it: `put` (epoch, revision, digest), `cut` and `healed` (names that can't be reached), `process` (name, processor time
-  so far in s, resident bytes), `traffic` (name, bytes so far), `on` and `off` (whether budgets of time and bytes count).
+- of whoever runs it: `put` (epoch, revision, digest), `cut` and `healed` (names that can't be reached), `process`
+  (name, processor time
+  so far in s, resident bytes), `traffic` (name, bytes so far), `on` and `off` (whether budgets of time and bytes
+  count).
 """
 
 import hashlib
@@ -24,7 +29,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Budget:
-    """Of one process: ms of processor time a second, bytes, bytes a second; over means of `span`, since a moment is no budget."""
+    """Of one process: ms of processor time a second, bytes, bytes a second; over means of `span`, since a moment is
+    no budget."""
 
     cpu: float = 37.0
     memory: float = 128 * 2**20
@@ -44,8 +50,10 @@
 
 
 class Sums:
-    """Calls below: what all may have in hand together, at each moment. `within`: of the total, what may be passed; `spare`: thousandths
-    of a call on top, one call for each server whose calls are seen and not its share, since a share under one call is one at times."""
+    """Calls below: what all may have in hand together, at each moment. `within`: of the total, what may be passed;
+    `spare`: thousandths
+    of a call on top, one call for each server whose calls are seen and not its share, since a share under one call
+    is one at times."""
 
     def __init__(self, total: float, faults: Faults, within: float = 1.05, spare: float = 0.0) -> None:
         self.total, self.faults, self.within, self.spare = total, faults, within, spare
@@ -65,7 +73,8 @@
             self.worst, self.worst_at = part, at
         over = self.sum > self.within * self.total + self.spare
         if over and not self.over:
-            self.faults.add(at, f"calls below: {self.sum / 1000:.1f} are shared out, of {self.total / 1000:.1f}; {name} was the last to rise")
+            self.faults.add(
+    at, f"calls below: {self.sum / 1000:.1f} are shared out, of {self.total / 1000:.1f}; {name} was the last to rise")
         self.over = over
 
     def event(self, at: int, name: str, what: str, told: Sequence[Any]) -> None:
@@ -116,9 +125,12 @@
         self.newest = (0, 0)
         self.servers: dict[str, Server] = {}
         self.waiting: dict[tuple[int, int], Waiting] = {}
-        self.delays: list[tuple[int, int]] = []  # when it was put, and after how many ns it was there; of each change on each server that it could reach all the while
+        # when it was put, and after how many ns it was there; of each change on
+        # each server that it could reach all the while
+        self.delays: list[tuple[int, int]] = []
         self.slowest: dict[tuple[int, int], int] = {}  # by change: until the last of these had it
-        self.caught: list[tuple[int, int]] = []  # when, and ns from being reached anew until all that was put before is in force
+        # when, and ns from being reached anew until all that was put before is in force
+        self.caught: list[tuple[int, int]] = []
         self.applied = self.synced = self.late = 0
 
     def event(self, at: int, name: str, what: str, told: Sequence[Any]) -> None:
@@ -126,7 +138,8 @@
             epoch, revision, digest = told
             self.put[epoch, revision] = at, digest
             self.newest = max(self.newest, (epoch, revision))
-            self.waiting[epoch, revision] = Waiting(at, {one for one, server in self.servers.items() if server.reached and server.behind_since < 0})
+            self.waiting[epoch, revision] = Waiting(
+                at, {one for one, server in self.servers.items() if server.reached and server.behind_since < 0})
             self.sweep(at)
             return
         if what not in SERVERS:
@@ -207,7 +220,8 @@
     def lost(self, at: int, key: tuple[int, int], waiting: Waiting) -> None:
         del self.waiting[key]
         for name in sorted(waiting.names)[:5]:
-            self.faults.add(at, f"{name} never has {key[0]}/{key[1]} in force, put {(at - waiting.at) / SECOND:.1f} s before")
+            self.faults.add(
+    at, f"{name} never has {key[0]}/{key[1]} in force, put {(at - waiting.at) / SECOND:.1f} s before")
         self.late += len(waiting.names)
 
     def end(self, at: int) -> None:
@@ -217,7 +231,9 @@
                 self.lost(at, key, waiting)
         for name, server in sorted(self.servers.items()):
             if server.behind_since >= 0 and at - server.behind_since > 10 * self.within:
-                self.faults.add(at, f"{name} could be reached for {(at - server.behind_since) / SECOND:.1f} s and never caught up to {server.catch_to}")
+                self.faults.add(
+    at,
+     f"{name} could be reached for {(at - server.behind_since) / SECOND:.1f} s and never caught up to {server.catch_to}")
 
 
 SERVERS = frozenset({"began", "ended", "stands", "wakes", "cut", "healed", "applied", "synced"})
@@ -239,7 +255,8 @@
 
 
 class Budgets:
-    """Of each process, at rest and under ordinary churn: `off` and `on` say what does not count. Memory counts always."""
+    """Of each process, at rest and under ordinary churn: `off` and `on` say what does not count. Memory counts
+    always."""
 
     def __init__(self, budgets: dict[str, Budget], faults: Faults) -> None:
         """`budgets`: by a process's name, or by its role, the part of it before the number."""
@@ -264,7 +281,8 @@
         return self.budgets.get(name) or self.budgets.get(role(name))
 
     def judge(self, at: int) -> None:
-        for what, unit, known in (("cpu", "ms of processor time a second", self.cpu), ("traffic", "bytes a second", self.bytes)):
+        for what, unit, known in (("cpu", "ms of processor time a second", self.cpu),
+                                  ("traffic", "bytes a second", self.bytes)):
             for name, told in known.items():
                 budget = self.of(name)
                 if budget is not None:
@@ -293,7 +311,8 @@
 
 
 def worst_rate(told: Sequence[tuple[int, float]], span: float) -> float:
-    """The largest growth a second of what only grows, over spans of that length; over all of it where that is less."""
+    """The largest growth a second of what only grows, over spans of that length; over all of it where that is
+    less."""
     worst, first = 0.0, 0
     for now, value in told:
         while now - told[first + 1][0] >= span * SECOND if first + 1 < len(told) else False:
@@ -319,7 +338,12 @@
 class Checker:
     """All of it. `faults` is empty where all went as it must."""
 
-    def __init__(self, total: float = 0.0, budgets: dict[str, Budget] | None = None, within: float = 6.0, spare: float = 0.0) -> None:
+    def __init__(self,
+    total: float = 0.0,
+    budgets: dict[str,
+    Budget] | None = None,
+    within: float = 6.0,
+     spare: float = 0.0) -> None:
         self.faults = Faults()
         self.sums, self.order = Sums(total, self.faults, spare=spare), Order(self.faults, within)
         self.budgets = Budgets(budgets or {}, self.faults)
--- a/benchmarks/scale_followers.py
+++ b/benchmarks/scale_followers.py
@@ -1,9 +1,11 @@
-"""What following configuration costs a server and the control machine that it follows, on sockets: hollow servers in two hosts, one
+"""What following configuration costs a server and the control machine that it follows, on sockets: hollow servers in
+two hosts, one
 control machine with the real core in a process of its own, so that /proc tells what it costs.
 
     python benchmarks/scale_followers.py --by followers [--keep]    # 25 to 400 of them, 0.4 changes a second
     python benchmarks/scale_followers.py --by changes [--keep]      # 0.4 to 8 a second, 100 followers
-    python benchmarks/scale_followers.py --by followers --state cold [--keep]    # all of them begin at once, with nothing
+    python benchmarks/scale_followers.py --by followers --state cold [--keep]    # all of them begin at once, with
+    nothing
 """
 
 import asyncio
@@ -22,7 +24,8 @@
 from burlloom.lab.slopes import Row, exponent_word, fit, keep  # noqa: E402
 
 SIZES = {"followers": (25.0, 50.0, 100.0, 200.0, 400.0), "changes": (0.4, 1.0, 2.0, 4.0, 8.0)}
-LAG_MOST = 3000.0  # ms, after which a follower gives its upstream up: hosts that were later were starved, and count for nothing
+# ms, after which a follower gives its upstream up: hosts that were later were starved, and count for nothing.
+LAG_MOST = 3000.0
 
 
 SECONDS = 12.0  # at rest, for which costs are taken
@@ -45,10 +48,25 @@
     caught = [delay / SECOND for _, delay in checker.order.caught]
     hollow = sum(value for name, value in phase.cpu.items() if name.startswith("host"))
     heard = sum(value for name, value in phase.traffic.items() if name.startswith("host"))
-    return {"follower cpu": hollow / span / followers * 1000, "follower bytes": heard / span / followers,
-            "source cpu": phase.cpu["control0"] / span * 1000, "source bytes": phase.traffic["control0"] / span,
-            "source memory": checker.budgets.memory["control0"] / 2**20, "delay": percentile(delays, 0.99), "worst": max(delays, default=float("nan")),
-            "caught": max(caught, default=float("nan")), "faults": checker.faults.count, "lag": starved(run, phase)}
+    return {
+    "follower cpu": hollow / span / followers * 1000,
+    "follower bytes": heard / span / followers,
+    "source cpu": phase.cpu["control0"] / span * 1000,
+    "source bytes": phase.traffic["control0"] / span,
+    "source memory": checker.budgets.memory["control0"] / 2**20,
+    "delay": percentile(
+        delays,
+        0.99),
+        "worst": max(
+            delays,
+            default=float("nan")),
+            "caught": max(
+                caught,
+                default=float("nan")),
+                "faults": checker.faults.count,
+                "lag": starved(
+                    run,
+                     phase)}
 
 
 @click.command()
@@ -62,16 +80,18 @@
 def followers(by: str, sizes: str, loss: float, entries: int, seed: int, state: str, kept: bool) -> None:
     """What following costs, by followers of one control machine or by changes a second."""
     a = "/s" if state == "rest" else ""
-    print(f"| {by} | a follower, ms{a} | B{a} | the control machine, ms{a} | kB{a} | its memory, MB | in force after, s: 99 in 100 | worst | "
-          "whole after, s: last | faults | lag of loops, ms |")
+    print(
+    f"| {by} | a follower, ms{a} | B{a} | the control machine, ms{a} | kB{a} | its memory, MB | in force after, s: 99 in 100 | worst | "
+    "whole after, s: last | faults | lag of loops, ms |")
     print("|" + " --- |" * 11)
     found = []
     for size in tuple(float(one) for one in sizes.split(",") if one) or SIZES[by]:
         count, rate = (int(size), 0.4) if by == "followers" else (100, size)
         got = measured(count, rate, loss, entries, seed, state)
-        print(f"| {size:g} | {got['follower cpu']:.2f} | {got['follower bytes']:.0f} | {got['source cpu']:.1f} | {got['source bytes'] / 1000:.1f} | "
-              f"{got['source memory']:.0f} | {got['delay']:.2f} | {got['worst']:.2f} | {got['caught']:.1f} | {got['faults']} | {got['lag']:.0f}"
-              f"{'' if got['lag'] <= LAG_MOST else ' TOO BUSY, counts for nothing'} |", flush=True)
+        print(
+    f"| {size:g} | {got['follower cpu']:.2f} | {got['follower bytes']:.0f} | {got['source cpu']:.1f} | {got['source bytes'] / 1000:.1f} | "
+    f"{got['source memory']:.0f} | {got['delay']:.2f} | {got['worst']:.2f} | {got['caught']:.1f} | {got['faults']} | {got['lag']:.0f}"
+    f"{'' if got['lag'] <= LAG_MOST else ' TOO BUSY, counts for nothing'} |", flush=True)
         if got["lag"] <= LAG_MOST:
             found.append((size, got))
     command = f"python benchmarks/scale_followers.py --by {by} --state {state} --entries {entries}"
@@ -86,8 +106,11 @@
             print(f"{full}: no slope, {error}")
             continue
         if kept:
-            keep(Row(full, of, unit + a, state, *told, command, "loopback sockets with 1% loss, hollow followers, one control machine; "
-                     + ("100 followers" if by == "changes" else "0.4 changes a second") + f", {entries} entries; a send takes some 90 us here"))
+            keep(Row(full, of, unit +
+    a, state, *
+    told, command, "loopback sockets with 1% loss, hollow followers, one control machine; " +
+    ("100 followers" if by == "changes" else "0.4 changes a second") +
+     f", {entries} entries; a send takes some 90 us here"))
 
 
 if __name__ == "__main__":
--- a/benchmarks/scale_real.py
+++ b/benchmarks/scale_real.py
@@ -1,6 +1,7 @@
 """Real servers of a scale run: processes of the program between stand-ins of our own, under an open-loop load.
 
-What the server adds to a request is counted from the moment at which it was to be sent, less what the stand-ins took. Every
+What the server adds to a request is counted from the moment at which it was to be sent, less what the stand-ins
+took. Every
 request, run and answer is told to the lab's checker of the four rules.
 """
 
@@ -41,18 +42,37 @@
         try:
             await asyncio.sleep(CALL_S)
         finally:
-            self.events.append([time.clock_gettime_ns(time.CLOCK_BOOTTIME), "real servers", "in hand", 1000 * (self.open - 1)])
+            self.events.append([time.clock_gettime_ns(time.CLOCK_BOOTTIME),
+                               "real servers", "in hand", 1000 * (self.open - 1)])
         return 200, False, b"fetched"
 
 
 class Real(Rig):
-    """One server, its executor, and who asks it. `started`: called after each start, with its log's newest addresses."""
-
-    def __init__(self, folder: Path, name: str, below: Below, rules: Rules, rate: float, chance: Random, operator: Any,
-                 due: float = 6.0) -> None:
+    """One server, its executor, and who asks it. `started`: called after each start, with its log's newest
+    addresses."""
+
+    def __init__(
+    self,
+    folder: Path,
+    name: str,
+    below: Below,
+    rules: Rules,
+    rate: float,
+    chance: Random,
+    operator: Any,
+     due: float = 6.0) -> None:
         folder.mkdir(exist_ok=True)
-        super().__init__(folder, name=name, catalogue=below, operator=operator, n_cores=32, memory_kb=400000, calls_out=20.0, aim=2000000,
-                         deadline=5000000, stop_ms=2000)
+        super().__init__(
+    folder,
+    name=name,
+    catalogue=below,
+    operator=operator,
+    n_cores=32,
+    memory_kb=400000,
+    calls_out=20.0,
+    aim=2000000,
+    deadline=5000000,
+     stop_ms=2000)
         self.rules, self.rate, self.chance, self.due = rules, rate, chance, due
         self.added, self.added_calling = HdrHistogram(1, 60_000_000, 3), HdrHistogram(1, 60_000_000, 3)  # us
         self.life, self.began_at = 0, time.monotonic()
@@ -79,10 +99,12 @@
 
     def note(self, what: str) -> None:
         now = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
-        self.catalogue.events += [[now, self.name, what, kind, self.life] for kind in ("fleet", "follower")]  # type: ignore[attr-defined]
+        self.catalogue.events += [[now, self.name, what, kind, self.life]
+            for kind in ("fleet", "follower")]  # type: ignore[attr-defined]
 
     def configured(self) -> list[list[Any]]:
-        """What its log says of the changes in force, for the checker; without what they say, which stands in no log."""
+        """What its log says of the changes in force, for the checker; without what they say, which stands in no
+        log."""
         ahead = time.clock_gettime_ns(time.CLOCK_BOOTTIME) - time.time_ns()
         found: list[list[Any]] = []
         for line in self.log().splitlines():
@@ -151,7 +173,8 @@
         if error is None:
             self.settled += 1
             self.rules.answers(self.now(), id, "settled", bytes(result[0]))
-            (self.added_calling if calling else self.added).record_value(max(1, int(1e6 * (span - self.took.pop(id, 0.0)))))
+            (self.added_calling if calling else self.added).record_value(
+                max(1, int(1e6 * (span - self.took.pop(id, 0.0)))))
         else:
             self.rules.answers(self.now(), id, ANSWERS.get(error[0], "voided"))
             self.took.pop(id, None)
--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -1,12 +1,17 @@
-"""The scale run: thousands of hollow servers that follow configuration, control machines, and real servers under load, while
+"""The scale run: thousands of hollow servers that follow configuration, control machines, and real servers under
+load, while
 faults are played from a seed and a checker of its own watches.
 
     python benchmarks/scale.py run --servers 2600 --control 19 --real 8 --rate 0.4         # some five minutes
     python benchmarks/scale_run.py --servers 60 --hosts 2 --control 3 --real 2 --pace 0.17    # what the tests play
 
-Churn is sped up 60 times (11,000 restarts and 740 deaths a day over 2,600 servers come to 8.6 a second); cuts of regions last half
-a minute in place of minutes. The fleet that shares out calls is a rack of one zone with the real servers: one of all is past
-what a member keeps (`MEMBERS_MOST`), and one of a zone past what a machine with slow sockets carries (docs/results.md). The network delays by distance and loses; a run for which the machine was too busy says so and counts for nothing.
+Churn is sped up 60 times (11,000 restarts and 740 deaths a day over 2,600 servers come to 8.6 a second); cuts of
+regions last half
+a minute in place of minutes. The fleet that shares out calls is a rack of one zone with the real servers: one of all
+is past
+what a member keeps (`MEMBERS_MOST`), and one of a zone past what a machine with slow sockets carries
+(docs/results.md). The
+network delays by distance and loses; a run for which the machine was too busy says so and counts for nothing.
 """
 
 import asyncio
@@ -37,7 +42,8 @@
 from burlloom.lab.rules import Rules  # noqa: E402
 
 SIGNING = "7c" * 32
-# ms, of 99 in 100 seconds of hosts: a sixth of what a change may take. Later loops were starved, and say nothing of the program.
+# ms, of 99 in 100 seconds of hosts: a sixth of what a change may take. Later loops were starved, and say nothing of
+# the program.
 LAG_MOST = 1000.0
 # ms, by which 99 in 100 looks of whoever asks the real servers may be late, for what they add to a request to count.
 ASKER_LAG_MOST = 1.0
@@ -110,7 +116,8 @@
 
     def region_of(self, at: int) -> tuple[int, int]:
         """Control machines stand in all regions and zones in turns."""
-        zones = [(region, zone) for zone, region in enumerate(region for region, count in enumerate(ZONES) for _ in range(count))]
+        zones = [(region, zone) for zone, region in enumerate(
+            region for region, count in enumerate(ZONES) for _ in range(count))]
         by_region = [[pair for pair in zones if pair[0] == region] for region in range(len(ZONES))]
         region = by_region[at % len(ZONES)]
         return region[at // len(ZONES) % len(region)]
@@ -118,7 +125,8 @@
     # The configuration.
 
     def value(self) -> bytes:
-        packed: bytes = msgpack.packb({"portion": self.chance.randrange(1, 100), "note": "x" * self.chance.randrange(0, 60)})
+        packed: bytes = msgpack.packb({"portion": self.chance.randrange(1, 100),
+                                      "note": "x" * self.chance.randrange(0, 60)})
         return packed
 
     def drawn(self, at: int | None = None) -> Entry:
@@ -137,7 +145,8 @@
             if await self.store.append(change):
                 break
         assert change.body is not None
-        self.events.append([began, "run", "put", change.epoch, change.revision, hashlib.sha256(change.body).hexdigest()[:16]])
+        self.events.append([began, "run", "put", change.epoch, change.revision,
+                           hashlib.sha256(change.body).hexdigest()[:16]])
         for entry in entries:
             if entry.value is None:
                 self.entries.pop(entry[:3], None)
@@ -155,8 +164,16 @@
 
     def wanted(self) -> dict[str, str]:
         """By region, what is to be in force there."""
-        return {f"r{region}": digest_of(msgpack.packb([*key, value]) for key, value in self.entries.items() if key[0] in ("", f"r{region}"))
-                for region in range(len(ZONES))}
+        return {
+    f"r{region}": digest_of(
+        msgpack.packb(
+            [
+                *key,
+                value]) for key,
+                value in self.entries.items() if key[0] in (
+                    "",
+                    f"r{region}")) for region in range(
+                        len(ZONES))}
 
     # The parts.
 
@@ -174,9 +191,20 @@
         spans = {name: int(getattr(plain, name) * setting.beat) for name in
                  ("beat", "silence", "knock", "retry", "prefer", "stale", "stuck", "lease")}
         follower = {"key": KEY, "signing_key": SIGNING, "terms": spans}
-        control = {"control": {**follower, "key_file": str(self.folder / "key"), "signing_key_file": str(self.folder / "signing"),
-                               "store": str(self.folder / "store.sqlite")}}
-        fleet = {"key": KEY, "terms": {"total": self.total, "least": (len(self.zone) + setting.real) // 2 + 1}, "seeds": [], "demand": 2 * SHARE}
+        control = {
+    "control": {
+        **follower,
+        "key_file": str(
+            self.folder /
+            "key"),
+            "signing_key_file": str(
+                self.folder /
+                "signing"),
+                "store": str(
+                    self.folder /
+                     "store.sqlite")}}
+        fleet = {"key": KEY, "terms": {"total": self.total, "least": (
+            len(self.zone) + setting.real) // 2 + 1}, "seeds": [], "demand": 2 * SHARE}
         in_zone = min(len(self.zone), 1 + len(self.zone) // IN_FLEET)
         groups = ([(group, {"follower": follower}) for group in spread(outside, max(1, setting.hosts - in_zone))]
                   + [(group, {"fleet": fleet, "follower": follower}) for group in spread(self.zone, in_zone)]
@@ -219,7 +247,8 @@
 
     async def begin(self, stack: AsyncExitStack) -> None:
         hosts = self.hosts
-        upstreams = [[machine.name, f"r{machine.region}", *pair(hosts.address(machine.name, "control"))] for machine in self.machines]
+        upstreams = [[machine.name, f"r{machine.region}", *
+    pair(hosts.address(machine.name, "control"))] for machine in self.machines]
         cores: dict[str, Any] = {"follower": {"upstreams": upstreams}, "control": {"upstreams": upstreams}}
         seeds = [hosts.address(one.name, "fleet") for one in self.zone[:3]]
         cores["fleet"] = {"seeds": seeds}
@@ -240,15 +269,40 @@
         stack.push_async_callback(self.below.stop)
         stack.push_async_callback(self.end_reals)
         for at in range(self.setting.real):
-            operator = {"fleet": {"listen": "127.0.0.1:0", "key_file": str(self.folder / "key"), "seeds": seeds, "calls": self.total / 1000,
-                                  "least": (len(self.zone) + self.setting.real) // 2 + 1, "state_file": str(self.folder / f"state{at}")},
-                        "distribution": {"listen": "127.0.0.1:0", "region": f"r{self.zone[0].region}", "key_file": str(self.folder / "key"),
-                                         "signing_key_file": str(self.folder / "signing"), "wait_ms": 0, "beat_ms": int(1000 * self.setting.beat),
-                                         "upstreams": [{"name": name, "region": region, "address": f"{host}:{port}"}
-                                                       for name, region, host, port in upstreams],
-                                         "state_file": str(self.folder / "real" / str(at) / "distribution")}}
-            self.reals.append(Real(self.folder / "real" / str(at), f"real{at}", self.below, self.rules, self.setting.asked,
-                                   Random(self.setting.seed * 7 + at), operator, self.due))
+            operator = {"fleet": {"listen": "127.0.0.1:0",
+    "key_file": str(self.folder / "key"),
+    "seeds": seeds,
+    "calls": self.total / 1000,
+    "least": (len(self.zone) + self.setting.real) // 2 + 1,
+    "state_file": str(self.folder / f"state{at}")},
+    "distribution": {"listen": "127.0.0.1:0",
+    "region": f"r{self.zone[0].region}",
+    "key_file": str(self.folder / "key"),
+    "signing_key_file": str(self.folder / "signing"),
+    "wait_ms": 0,
+    "beat_ms": int(1000 * self.setting.beat),
+    "upstreams": [{"name": name,
+    "region": region,
+    "address": f"{host}:{port}"} for name,
+    region,
+    host,
+    port in upstreams],
+     "state_file": str(self.folder / "real" / str(at) / "distribution")}}
+            self.reals.append(
+    Real(
+        self.folder /
+        "real" /
+        str(at),
+        f"real{at}",
+        self.below,
+        self.rules,
+        self.setting.asked,
+        Random(
+            self.setting.seed *
+            7 +
+            at),
+            operator,
+             self.due))
         await asyncio.gather(*(self.join(real) for real in self.reals))
 
     async def join(self, real: Real) -> None:
@@ -410,17 +464,20 @@
     # The end.
 
     def check(self) -> Checker:
-        rows = [json.loads(line) for host in self.hosts.hosts if host.record.exists() for line in host.record.read_text().splitlines()]
+        rows = [json.loads(line) for host in self.hosts.hosts if host.record.exists()
+                           for line in host.record.read_text().splitlines()]
         self.configured = {real.name: real.configured() for real in self.reals}
         rows += [event for told in self.configured.values() for event in told]
         budgets = {"control": Budget(cpu=1000.0, memory=2**31, traffic=1e9),  # a machine's core
                    "real": Budget(cpu=1e9, memory=256 * 2**20)}  # it serves besides: what control takes there is told by the hollow ones
         for host in self.hosts.hosts:
             name, count = self.name_of(host), len(host.servers)
-            self.events += [[second["at"], name, "traffic", second["in_bytes"] + second["out_bytes"]] for second in host.seconds]
+            self.events += [[second["at"], name, "traffic", second["in_bytes"] + second["out_bytes"]]
+                for second in host.seconds]
             if not name.startswith("control"):  # so many servers in one process
                 budgets[name] = Budget(37.0 * count, 128 * 2**20 * count, 9 * 1024 * count)
-        checker = Checker(self.total, budgets if self.setting.budgets else {}, self.setting.within, 1000.0 * len(self.reals))
+        checker = Checker(self.total, budgets if self.setting.budgets else {},
+                          self.setting.within, 1000.0 * len(self.reals))
         checker.contents.wanted = self.wanted()
         return checker.check([*self.events, *rows])
 
@@ -529,8 +586,10 @@
 
 def table(run: Run, checker: Checker) -> list[str]:
     """By phase: how long changes took, and what was spent."""
-    told = ["| phase | s | changes | on servers | in force after, s: median | 99 in 100 | worst | caught up after, s: count | median | worst | "
-            "a server, ms/s | B/s | a control machine, ms/s: mean | most | kB/s: mean | most | lag of loops, ms |", "|" + " --- |" * 17]
+    told = [
+    "| phase | s | changes | on servers | in force after, s: median | 99 in 100 | worst | caught up after, s: count | median | worst | "
+    "a server, ms/s | B/s | a control machine, ms/s: mean | most | kB/s: mean | most | lag of loops, ms |",
+     "|" + " --- |" * 17]
     servers = len(run.places)
     for phase in run.phases:
         span = (phase.ended - phase.began) / SECOND
@@ -541,7 +600,8 @@
         machines = [value / span for name, value in phase.cpu.items() if name.startswith("control")] or [0.0]
         traffic = [value / span for name, value in phase.traffic.items() if name.startswith("control")] or [0.0]
         bytes_each = sum(value for name, value in phase.traffic.items() if name.startswith("host")) / span / servers
-        lag = max((one["lag_ms"] for host in run.hosts.hosts for one in host.seconds if phase.began <= one["at"] < phase.ended), default=0.0)
+        lag = max((one["lag_ms"] for host in run.hosts.hosts for one in host.seconds if phase.began <=
+                  one["at"] < phase.ended), default=0.0)
         told.append(
             f"| {phase.name} | {span:.0f} | {phase.put} | {len(delays)} | {percentile(delays, 0.5):.2f} | {percentile(delays, 0.99):.2f} | "
             f"{max(delays, default=float('nan')):.2f} | {len(caught)} | {percentile(caught, 0.5):.2f} | {max(caught, default=float('nan')):.2f} | "
@@ -551,10 +611,12 @@
 
 
 def starved(run: Run, phase: Phase | None = None) -> float:
-    """ms: what the worst lag of a second of a host was over in one of a hundred, in that phase, or from the first one on: before it
+    """ms: what the worst lag of a second of a host was over in one of a hundred, in that phase, or from the first
+    one on: before it
     nothing is measured, and all hosts begin at once."""
     began, ended = (phase.began, phase.ended) if phase is not None else (run.phases[0].began, run.phases[-1].ended)
-    return percentile([one["lag_ms"] for host in run.hosts.hosts for one in host.seconds if began <= one["at"] < ended], 0.99)
+    return percentile([one["lag_ms"]
+                      for host in run.hosts.hosts for one in host.seconds if began <= one["at"] < ended], 0.99)
 
 
 def played(setting: Setting, say: Callable[[str], None]) -> tuple[Run, Checker]:
@@ -579,29 +641,69 @@
 @click.option("--only", default="", help="phases, with commas between")
 @click.option("--pace", default=1.0, show_default=True, help="how long each phase is, against what the story says")
 @click.option("--opening", default=100, show_default=True, help="processes that are started at a time")
-@click.option("--patience", default=60.0, show_default=True, help="s, for which all are waited for after the start and at the end")
+@click.option("--patience", default=60.0, show_default=True,
+              help="s, for which all are waited for after the start and at the end")
 @click.option("--most", default=1e9, help="s after which no further phase begins")
-def run(servers: int, hosts: int, machines: int, real: int, rate: float, loss: float, entries: int, seed: int, beat: float, begin: int,
-        asked: float, fleet: int, only: str, pace: float, opening: int, patience: float, most: float) -> None:
+def run(
+    servers: int,
+    hosts: int,
+    machines: int,
+    real: int,
+    rate: float,
+    loss: float,
+    entries: int,
+    seed: int,
+    beat: float,
+    begin: int,
+    asked: float,
+    fleet: int,
+    only: str,
+    pace: float,
+    opening: int,
+    patience: float,
+     most: float) -> None:
     """Hollow servers beside real ones, with faults, and a checker that watches."""
     began = time.monotonic()
-    setting = Setting(servers, hosts, machines, real, rate, loss, entries, seed, pace, tuple(filter(None, only.split(","))), patience=patience, most=most, beat=beat, begin=begin, asked=asked, fleet=fleet, opening=opening)
-    story, checker = played(setting, lambda what: print(f"{time.monotonic() - began:6.1f} s  {what}", file=sys.stderr, flush=True))
+    setting = Setting(
+    servers,
+    hosts,
+    machines,
+    real,
+    rate,
+    loss,
+    entries,
+    seed,
+    pace,
+    tuple(
+        filter(
+            None,
+            only.split(","))),
+            patience=patience,
+            most=most,
+            beat=beat,
+            begin=begin,
+            asked=asked,
+            fleet=fleet,
+             opening=opening)
+    story, checker = played(setting, lambda what: print(
+        f"{time.monotonic() - began:6.1f} s  {what}", file=sys.stderr, flush=True))
     for line in table(story, checker):
         print(line)
     order, sums = checker.order, checker.sums
     if story.skipped:
         print(f"\nnot run, since there was no time: {', '.join(story.skipped)}")
-    print(f"\nchanges put {len(order.put)}, taken {order.applied}, wholes {order.synced}, late {order.late}, contents compared "
-          f"{checker.contents.looked_at}; most shared out {sums.worst:.3f} of the total")
+    print(
+    f"\nchanges put {len(order.put)}, taken {order.applied}, wholes {order.synced}, late {order.late}, contents compared "
+    f"{checker.contents.looked_at}; most shared out {sums.worst:.3f} of the total")
     for what in ("added", "added_calling"):
         whole = None
         for one in story.reals:
             whole = getattr(one, what) if whole is None else (whole.add(getattr(one, what)), whole)[1]
         if whole is not None and whole.get_total_count():
-            print(f"real servers, {'with a call below' if what == 'added_calling' else 'no call'}: {whole.get_total_count()} requests, added "
-                  f"{whole.get_value_at_percentile(50) / 1000:.2f} ms median, {whole.get_value_at_percentile(99) / 1000:.2f} ms for 99 in 100, "
-                  f"{whole.get_max_value() / 1000:.1f} ms most")
+            print(
+    f"real servers, {'with a call below' if what == 'added_calling' else 'no call'}: {whole.get_total_count()} requests, added "
+    f"{whole.get_value_at_percentile(50) / 1000:.2f} ms median, {whole.get_value_at_percentile(99) / 1000:.2f} ms for 99 in 100, "
+    f"{whole.get_max_value() / 1000:.1f} ms most")
     asker = percentile(story.lags, 0.99)
     print(f"lag of who asks them, 99 in 100: {asker:.2f} ms, {ASKER_LAG_MOST:g} allowed"
           f"{'' if asker <= ASKER_LAG_MOST else ': TOO BUSY, what they add counts for nothing'}")
@@ -609,7 +711,8 @@
     print(f"hosts' faults: {story.faults[:3]}")
     other = sum(story.other) / max(1, len(story.other))
     print(f"cores used by the run itself: {sum(story.own) / max(1, len(story.own)):.2f} in the mean")
-    print(f"lag of the hosts' loops, 99 in 100 seconds: {starved(story):.0f} ms, {LAG_MOST:.0f} allowed; other load {other:.1f} cores")
+    print(
+        f"lag of the hosts' loops, 99 in 100 seconds: {starved(story):.0f} ms, {LAG_MOST:.0f} allowed; other load {other:.1f} cores")
     if starved(story) > LAG_MOST:
         print("TOO BUSY: the hosts were starved; this run counts for nothing")
     print(f"faults: {checker.faults.count}")
--- a/burlloom/lab/distances.py
+++ b/burlloom/lab/distances.py
@@ -1,4 +1,5 @@
-"""The network between the hosts of a scale run, as a table in each one's sending path: nobody carries all of the traffic.
+"""The network between the hosts of a scale run, as a table in each one's sending path: nobody carries all of the
+traffic.
 
 It delays by distance, loses, and cuts groups from each other, one way or both. No I/O.
 """
@@ -26,7 +27,8 @@
 
 
 def place(name: str, region: int, zone: int, rack: int) -> Place:
-    return Place(name, region, zone, rack, frozenset({f"region:{region}", f"zone:{zone}", f"rack:{zone}.{rack}", f"name:{name}"}))
+    return Place(name, region, zone, rack, frozenset(
+        {f"region:{region}", f"zone:{zone}", f"rack:{zone}.{rack}", f"name:{name}"}))
 
 
 def laid_out(count: int, prefix: str = "h") -> list[Place]:
@@ -41,7 +43,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Cut:
-    """`one` does not reach `other`, and with `both` is not reached either; `other` empty: all that are not in `one`."""
+    """`one` does not reach `other`, and with `both` is not reached either; `other` empty: all that are not in
+    `one`."""
 
     one: frozenset[str]
     other: frozenset[str] = frozenset()
@@ -69,7 +72,8 @@
         """`loss`, `stretch` of the delays, `cuts` as lists of marks; what is not named stays."""
         self.loss, self.stretch = float(message.get("loss", self.loss)), float(message.get("stretch", self.stretch))
         if "cuts" in message:
-            self.cuts = tuple(Cut(frozenset(one), frozenset(other), bool(both)) for one, other, both in message["cuts"])
+            self.cuts = tuple(Cut(frozenset(one), frozenset(other), bool(both))
+                              for one, other, both in message["cuts"])
 
     def between(self, source: Place, target: Place) -> float:
         """ms one way, without chance."""
--- a/burlloom/lab/hollow.py
+++ b/burlloom/lab/hollow.py
@@ -1,12 +1,18 @@
-"""A process that holds some hundreds of hollow servers: each speaks the real messages over a loopback socket of its own
+"""A process that holds some hundreds of hollow servers: each speaks the real messages over a loopback socket of its
+own
 with the real cores, and has no serving part.
 
-    python -m burlloom.lab.hollow    # a line of JSON in for each order, a line out each second; ends when its input does
-
-Whoever runs it sends `begin`, learns from `open` under which address each server is reached, and tells all hosts all of
-the addresses (`places`), since the network between them is in their sending path (`distances.py`). Then `start`, `kill`,
-`leave`, `stand` (still, for `for` seconds) with `names`, `tell` for what a core makes of it, `net` for delays, losses and cuts, `ask`
-for what each one cost, `end`. Events that a checker wants, each share and each life with its time, go to the file that `begin` names.
+    python -m burlloom.lab.hollow    # a line of JSON in for each order, a line out each second; ends when its input
+    does
+
+Whoever runs it sends `begin`, learns from `open` under which address each server is reached, and tells all hosts all
+of
+the addresses (`places`), since the network between them is in their sending path (`distances.py`). Then `start`,
+`kill`,
+`leave`, `stand` (still, for `for` seconds) with `names`, `tell` for what a core makes of it, `net` for delays,
+losses and cuts, `ask`
+for what each one cost, `end`. Events that a checker wants, each share and each life with its time, go to the file
+that `begin` names.
 """
 
 import asyncio
@@ -20,6 +26,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from contextlib import suppress
+from functools import partial
 from random import Random
 from typing import Any, Protocol, TextIO
 
@@ -28,7 +35,8 @@
 from ..fleet import CALL, Fleet, Habits, State, Terms, Word
 from .distances import Distances, Place, place
 
-TICKS = {"fleet": 0.05, "follower": 0.25, "control": 3600.0}  # s; a server ticks each 0.05, a control machine by itself
+# s; a server ticks each 0.05, a control machine by itself
+TICKS = {"fleet": 0.05, "follower": 0.25, "control": 3600.0}
 LOOK = 0.1  # s between looks at how late the loop is
 LIVES_MOST = 3600  # s after which a host ends, whatever it was told
 KEPT_MOST = 200  # datagrams that wait for one that stands still, as a socket's buffer would hold
@@ -99,9 +107,16 @@
 
     def facts(self, now: int) -> dict[str, Any]:
         fleet = self.fleet
-        return {"share": fleet.share, f"holder {fleet.holder.state.name.lower()}": 1, "there": len(fleet.members.there()),
-                "deals": int(fleet.dealer.phase > 0), "dropped": fleet.counts.dropped, "unreadable": fleet.counts.unreadable,
-                f"view {fleet.members.digest}": 1}
+        return {
+    "share": fleet.share,
+    f"holder {fleet.holder.state.name.lower()}": 1,
+    "there": len(
+        fleet.members.there()),
+        "deals": int(
+            fleet.dealer.phase > 0),
+            "dropped": fleet.counts.dropped,
+            "unreadable": fleet.counts.unreadable,
+             f"view {fleet.members.digest}": 1}
 
     def events(self, now: int) -> Iterable[list[Any]]:
         seen, self.seen = self.seen, []
@@ -269,6 +284,9 @@
     def note(self, mouth: Mouth, what: str, told: Any) -> None:
         self.record(self.now(), mouth.own.name, what, mouth.kind, told)
 
+    def same(self, mouth: Mouth) -> Mouth:
+        return mouth
+
     # Orders.
 
     async def order(self, message: dict[str, Any]) -> None:
@@ -286,14 +304,15 @@
             self.mouths[name] = []
             for kind in self.told:
                 mouth = Mouth(self, own, kind)
-                await self.loop.create_datagram_endpoint(lambda mouth=mouth: mouth, local_addr=("127.0.0.1", 0))  # type: ignore[misc]
+                await self.loop.create_datagram_endpoint(partial(self.same, mouth), local_addr=("127.0.0.1", 0))
                 self.mouths[name].append(mouth)
                 found.setdefault(name, {})[kind] = mouth.address
         self.loop.create_task(self.beat())
         self.say("open", pid=os.getpid(), addresses=found)
 
     async def know(self, message: dict[str, Any]) -> None:
-        """`places`: [address, name, region, zone, rack] of all; `outside`: the same, of those in no host, by the address that
+        """`places`: [address, name, region, zone, rack] of all; `outside`: the same, of those in no host, by the
+        address that
         they send from; `seeds` and the like, by the kind of core."""
         for address, name, region, zone, rack in message.get("places", ()):
             self.places[address] = self.places[pair(address)] = pair(address), place(name, region, zone, rack)
@@ -368,7 +387,8 @@
         for mouths in self.mouths.values():
             for mouth in mouths:
                 mouth.events()
-                totals.update(out=mouth.outs, out_bytes=mouth.out_bytes, **{"in": mouth.ins, "in_bytes": mouth.in_bytes})
+                totals.update(out=mouth.outs, out_bytes=mouth.out_bytes, **
+                              {"in": mouth.ins, "in_bytes": mouth.in_bytes})
                 if mouth.core is not None:
                     up += 1
                     facts.update(mouth.core.facts(now))
@@ -376,8 +396,21 @@
         lag, self.lag = self.lag, 0.0
         if self.file is not None:
             self.file.flush()
-        self.say("second", at=now, cpu_ms=round((used.ru_utime + used.ru_stime) * 1000, 1), rss_kb=resident(), lag_ms=round(lag * 1000, 1),
-                 up=up, lost=self.net.lost, parted=self.net.parted, facts=facts, **totals)
+        self.say(
+    "second",
+    at=now,
+    cpu_ms=round(
+        (used.ru_utime + used.ru_stime) * 1000,
+        1),
+        rss_kb=resident(),
+        lag_ms=round(
+            lag * 1000,
+            1),
+            up=up,
+            lost=self.net.lost,
+            parted=self.net.parted,
+            facts=facts,
+             **totals)
 
 
 def resident() -> int:
@@ -390,8 +423,17 @@
     return host, int(port)
 
 
-ORDERS = {"begin": Host.begin, "places": Host.know, "start": Host.start, "kill": Host.kill, "leave": Host.leave, "stand": Host.stand,
-          "tell": Host.tell, "net": Host.network, "ask": Host.ask, "end": Host.end}
+ORDERS = {
+    "begin": Host.begin,
+    "places": Host.know,
+    "start": Host.start,
+    "kill": Host.kill,
+    "leave": Host.leave,
+    "stand": Host.stand,
+    "tell": Host.tell,
+    "net": Host.network,
+    "ask": Host.ask,
+     "end": Host.end}
 
 
 async def main() -> None:
--- a/tests/planted_host.py
+++ b/tests/planted_host.py
@@ -2,7 +2,8 @@
 
     python tests/planted_host.py share    # who deals does not count what others hold
     python tests/planted_host.py gap      # followers take a change though one before it is missing
-    python tests/planted_host.py content  # two followers take some changes without what they say, and nobody compares digests
+    python tests/planted_host.py content  # two followers take some changes without what they say, and nobody
+    compares digests
 """
 
 import sys
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -19,7 +19,8 @@
 
 def shares() -> list[list[Any]]:
     """Ten servers that begin one after the other and are given three calls each; one gives up one for another."""
-    told = [event for at in range(10) for event in ([at, f"h{at}", "began", "fleet", 1], [SECOND + at, f"h{at}", "share", 3000])]
+    told = [event for at in range(10) for event in (
+        [at, f"h{at}", "began", "fleet", 1], [SECOND + at, f"h{at}", "share", 3000])]
     return [*told, [3 * SECOND, "h1", "share", 2000], [4 * SECOND, "h2", "share", 4000]]
 
 
@@ -39,10 +40,15 @@
     assert "shared out" in found.faults.told[0]
 
 
-@pytest.mark.parametrize("well", [
-    [[5 * SECOND, "h1", "ended", "fleet", 0], [5 * SECOND + 1, "h2", "share", 6000]],
-    [[5 * SECOND, "h1", "stands", "fleet", 20.0], [12 * SECOND, "h2", "share", 6000], [25 * SECOND, "h1", "wakes", "fleet", 0],
-     [25 * SECOND + 1, "h1", "share", 0]]])
+@pytest.mark.parametrize("well", [ [[5 *
+    SECOND, "h1", "ended", "fleet", 0], [5 *
+    SECOND +
+    1, "h2", "share", 6000]], [[5 *
+    SECOND, "h1", "stands", "fleet", 20.0], [12 *
+    SECOND, "h2", "share", 6000], [25 *
+    SECOND, "h1", "wakes", "fleet", 0], [25 *
+    SECOND +
+     1, "h1", "share", 0]]])
 def test_what_was_given_up_may_be_given_again(well: list[list[Any]]):
     assert Checker(TOTAL).check(shares() + well).faults.told == []
 
@@ -72,14 +78,16 @@
 
 def test_a_lost_change_is_caught():
     """In the middle, by the next one; at the end, as it is never in force."""
-    assert Checker().check(without(changes(), "h2", 7)).faults.told == ["8.100: h2 applies 1/8 after 6: and lost 1 before it"]
+    assert Checker().check(without(changes(), "h2", 7)).faults.told == [
+                   "8.100: h2 applies 1/8 after 6: and lost 1 before it"]
     found = Checker().check(without(changes(), "h2", 20)).faults
     assert found.count == 1 and "h2 never has 1/20 in force" in found.told[0]
 
 
 def test_a_change_out_of_order_is_caught():
     told = without(changes(), "h1", 7, 8)
-    found = Checker().check([*told, [8 * SECOND + SECOND // 2, "h1", "applied", 1, 8, "d8"], [8 * SECOND + SECOND // 2 + 1, "h1", "applied", 1, 7, "d7"]])
+    found = Checker().check([*told, [8 * SECOND + SECOND // 2, "h1", "applied", 1, 8, "d8"],
+                    [8 * SECOND + SECOND // 2 + 1, "h1", "applied", 1, 7, "d7"]])
     assert [fault.split(": ", 1)[1] for fault in found.faults.told][:2] == [
         "h1 applies 1/8 after 6: and lost 1 before it", "h1 applies 1/7 after 8: out of order"]
 
@@ -89,7 +97,8 @@
                         ([21 * SECOND, "h1", "applied", 1, 21, "d21"], "nobody put")):
         assert word in Checker().check([*changes(), event]).faults.told[0]
     told = without(changes(), "h1", 20)
-    assert "something else" in Checker().check([*told, [20 * SECOND + 9, "h1", "applied", 1, 20, "other"]]).faults.told[0]
+    assert "something else" in Checker().check(
+        [*told, [20 * SECOND + 9, "h1", "applied", 1, 20, "other"]]).faults.told[0]
     # What is not for a server comes without its body.
     assert Checker().check([*told, [20 * SECOND + 9, "h1", "applied", 1, 20, ""]]).faults.told == []
 
@@ -106,7 +115,8 @@
 
 def test_a_new_life_begins_with_a_whole():
     told = without(changes(), "h1", *range(5, 21))
-    life = [[5 * SECOND, "h1", "ended", "follower", 0], [9 * SECOND + 1, "h1", "began", "follower", 2], [10 * SECOND, "h1", "synced", 1, 9]]
+    life = [[5 * SECOND, "h1", "ended", "follower", 0], [9 * SECOND + 1,
+        "h1", "began", "follower", 2], [10 * SECOND, "h1", "synced", 1, 9]]
     rest = [event for event in changes() if event[1] == "h1" and event[2] == "applied" and event[4] >= 10]
     assert Checker().check(told + life + rest).faults.told == []
 
@@ -122,7 +132,8 @@
     found = Checker(budgets={"server": Budget()}).check(told)
     assert found.faults.count == 1 and "server1: 50.0 ms of processor time a second over 10 s" in found.faults.told[0]
     assert worst_rate([(0, 0.0), (SECOND, 5.0)], 10.0) == 5.0
-    heavy = [[at * SECOND, "server1", "traffic", at * 10_000] for at in range(20)] + [[0, "server2", "process", 0.0, 2**30]]
+    heavy = [[at * SECOND, "server1", "traffic", at * 10_000]
+        for at in range(20)] + [[0, "server2", "process", 0.0, 2**30]]
     assert Checker(budgets={"server": Budget()}).check(heavy).faults.count == 2
 
 
@@ -174,8 +185,22 @@
 
 
 # Nothing here is judged by the clock: what is in force within a minute, or answered, is not late on a busy machine.
-SMALL = Setting(servers=60, hosts=2, control=3, real=2, rate=2.0, loss=0.01, entries=100, seed=1, pace=0.17, only=("churn", "zone", "region"),
-                within=60.0, budgets=False)
+SMALL = Setting(
+    servers=60,
+    hosts=2,
+    control=3,
+    real=2,
+    rate=2.0,
+    loss=0.01,
+    entries=100,
+    seed=1,
+    pace=0.17,
+    only=(
+        "churn",
+        "zone",
+        "region"),
+        within=60.0,
+         budgets=False)
 PLANT = replace(SMALL, servers=28, control=2, real=0, rate=5.0, only=("churn",))
 
 
