Stores that processes share: one file and one database behind both, opened by many at once

Cause: record/sqlite.py, connected(): between the first page of a new file and its application id another finds a file that has a size and no id. Ruled out: the lock's wait (turns take it), the restore further down the story. Test: a file left at that very point; it fails without the change (shown), and one with a table in it stays refused. Held, the lock in another's hands, moved to a file of its own in tests/.

--- a/burlloom/distribution/stores/sqlite.py
+++ b/burlloom/distribution/stores/sqlite.py
@@ -1,59 +1,20 @@
 """In one SQLite file, the record's or one of its own, that all control machines of one machine share."""
 
-import asyncio
-import re
 import sqlite3
-from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import Any, TypeVar
 
-from ...record.sqlite import connect, migrate
-from ...record.store import Refused
-from .store import Away
+from ...record.shared_sqlite import SharedFile, execute
+from ...record.turns import WAIT
 from .tables import Statement, Tables
 
-PARAMETER = re.compile(r"\$(\d+)::\w+")
-CLOSE_MOST = 1.0  # s that a disk which hangs is waited for
-Result = TypeVar("Result")
 
-
-class Sqlite(Tables):
-    """One thread of its own: a disk that is slow, or a lock that another holds, never keeps the loop."""
-
-    def __init__(self, path: Path) -> None:
-        self.path = path
-        self.db: sqlite3.Connection | None = None
-        self.file = 0
-        self.thread = ThreadPoolExecutor(1, "distribution")
-
-    async def in_thread(self, work: Callable[[], Result]) -> Result:
-        try:
-            return await asyncio.get_running_loop().run_in_executor(self.thread, work)
-        except (sqlite3.Error, OSError) as error:
-            raise Away(f"{self.path}: {error}") from error
-        except Refused as error:
-            raise Away(str(error)) from error
-
-    async def prepare(self) -> None:
-        def work() -> None:
-            self.let_go()
-            db = connect(self.path)
-            try:
-                migrate(db, self.path)
-            except BaseException:
-                db.close()
-                raise
-            self.db, self.file = db, self.path.stat().st_ino
-
-        await self.in_thread(work)
-
-    async def run(self, sql: str, *values: Any) -> list[Any]:
-        return await self.in_thread(lambda: execute(self.opened(), sql, values))
+class Sqlite(SharedFile, Tables):
+    def __init__(self, path: Path, wait: float = WAIT) -> None:
+        """`wait`: s for the lock that another holds, until the store counts as away."""
+        super().__init__(path, "distribution", wait)
 
     async def together(self, guard: Statement, rest: list[Statement]) -> bool:
-        def work() -> bool:
-            db = self.opened()
+        def work(db: sqlite3.Connection) -> bool:
             db.execute("BEGIN IMMEDIATE")
             try:
                 held = bool(execute(db, *guard))
@@ -65,32 +26,4 @@
                 if db.in_transaction:
                     db.execute("ROLLBACK")
                 raise
-
-        return await self.in_thread(work)
-
-    async def close(self) -> None:
-        try:
-            async with asyncio.timeout(CLOSE_MOST):
-                await self.in_thread(self.let_go)
-        except (Away, TimeoutError):
-            pass
-        self.thread.shutdown(wait=False, cancel_futures=True)
-
-    # In the thread.
-
-    def opened(self) -> sqlite3.Connection:
-        if self.db is None:
-            raise sqlite3.OperationalError("not open")
-        if self.path.stat().st_ino != self.file:  # a restore put another in its place: ours is nobody's now
-            self.let_go()
-            raise sqlite3.OperationalError("another file has taken its place")
-        return self.db
-
-    def let_go(self) -> None:
-        if self.db is not None:
-            self.db.close()
-            self.db = None
-
-
-def execute(db: sqlite3.Connection, sql: str, values: tuple[Any, ...]) -> list[Any]:
-    return db.execute(PARAMETER.sub(r"?\1", sql), values).fetchall()
+        return await self.take(work)
--- a/burlloom/distribution/stores/store.py
+++ b/burlloom/distribution/stores/store.py
@@ -2,15 +2,12 @@
 
 from typing import NamedTuple, Protocol
 
+from ...record.store import Away as Away
 from ..changes import Change, Entry, Head
 
 Place = tuple[str, str, str]  # scope, kind, key: the order in which entries are read
 
 
-class Away(Exception):
-    """The store can't be reached, or nobody knows whether it took what was written: read before you act."""
-
-
 class Stored(NamedTuple):
     """An entry in force, and the epoch and revision that wrote it last."""
 
--- a/burlloom/record/sqlite.py
+++ b/burlloom/record/sqlite.py
@@ -88,6 +88,10 @@
             db.execute("PRAGMA auto_vacuum = INCREMENTAL")
             db.execute(f"PRAGMA application_id = {schema.APPLICATION}")
         (application,) = db.execute("PRAGMA application_id").fetchone()
+        if not application and db.execute("SELECT 1 FROM sqlite_schema").fetchone() is None:
+            # Nothing is in it: another, who makes it just now, has written its first page and not yet whose it is.
+            db.execute(f"PRAGMA application_id = {schema.APPLICATION}")
+            (application,) = db.execute("PRAGMA application_id").fetchone()
         if application != schema.APPLICATION:
             raise Refused(f"{path}: not a burlloom record but another program's database")
         db.execute("PRAGMA journal_mode = WAL")
--- a/burlloom/record/store.py
+++ b/burlloom/record/store.py
@@ -16,6 +16,10 @@
     """The store can't be used as it is; one line that says why and what to do."""
 
 
+class Away(Exception):
+    """The store can't be reached, or nobody knows whether it took what was written: read before you act."""
+
+
 @dataclass(frozen=True, slots=True)
 class Opened:
     """Who we are in the store from now on.
--- a/burlloom/rollout/stores/shelf.py
+++ b/burlloom/rollout/stores/shelf.py
@@ -4,14 +4,11 @@
 
 from pydantic import TypeAdapter, ValidationError
 
+from ...record.store import Away as Away
 from ..book import FORM, Book
 from ..watch import Member
 
 
-class Away(Exception):
-    """The store can't be reached, or nobody knows whether it took what was written: read before you act."""
-
-
 class Unreadable(Exception):
     """What stands in the store is no book of ours; says what is wrong with it."""
 
--- a/tests/test_distribution_stores.py
+++ b/tests/test_distribution_stores.py
@@ -9,6 +9,7 @@
 import msgpack
 import pytest
 from fleet_rig import KEY
+from held import Held
 from test_command import burlloom, filled
 
 from burlloom.distribution.changes import Change, Entry, Head, break_of, chained, encode, head_of
@@ -242,3 +243,21 @@
         await server.stop()
 
     asyncio.run(play())
+
+
+def test_a_change_waits_for_a_lock_that_others_have(tmp_path: Path) -> None:
+    """Found taken a hundred times, and then had; past its time the store is away, and nothing was written."""
+    async def play() -> None:
+        store = Sqlite(tmp_path / "changes.db")
+        await store.open()
+        held = Held(tmp_path / "changes.db", 1.9)
+        store.turns = held.turns()
+        assert await store.append(change(await store.head(), ("tenant", "a", value()))) and held.looks >= 100
+        held = Held(tmp_path / "changes.db", 9.0)
+        store.turns = held.turns()
+        with pytest.raises(Away, match="database is locked"):
+            await store.append(change(await store.head(), ("tenant", "b", value())))
+        assert 2.0 <= held.now < 2.1 and (await store.head()).revision == 1
+        held.db.close()
+        await store.close()
+    asyncio.run(play())
--- a/tests/test_rollout_stores.py
+++ b/tests/test_rollout_stores.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import sqlite3
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -10,14 +9,15 @@
 import pytest
 from click.testing import CliRunner
 from fleet_rig import KEY
+from held import Held
 
 from burlloom.command.rollout import rollout
 from burlloom.operator import Place
 from burlloom.operator import Postgres as Database
+from burlloom.record import shared_sqlite
 from burlloom.record.opening import store_of
-from burlloom.record.turns import WAIT, Turns
 from burlloom.rollout import Book, Member, Says
-from burlloom.rollout.stores import Away, Shelf, sqlite
+from burlloom.rollout.stores import Away, Shelf
 from burlloom.rollout.stores.postgres import Postgres
 from burlloom.rollout.stores.sqlite import Sqlite
 from burlloom.standins import postgres
@@ -45,27 +45,6 @@
     assert sorted(held) == [False, True]
 
 
-class Held:
-    """The file's lock, in another's hands until a clock of its own says so; that goes on only while one waits."""
-
-    def __init__(self, path: Path, until: float) -> None:
-        self.until, self.now, self.looks = until, 0.0, 0
-        self.db = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
-        self.db.execute("BEGIN IMMEDIATE")
-
-    def clock(self) -> float:
-        return self.now
-
-    def rest(self, span: float) -> None:
-        assert 0 < span <= 0.015  # none waits for long while the lock is free
-        self.now, self.looks = self.now + span, self.looks + 1
-        if self.now >= self.until and self.db.in_transaction:
-            self.db.execute("ROLLBACK")
-
-    def turns(self, wait: float = WAIT, **told: Any) -> Turns:
-        return Turns(wait, clock=self.clock, rest=self.rest, **told)
-
-
 def test_a_lock_is_waited_for_while_others_have_it(tmp_path: Path) -> None:
     """Found taken a hundred times, and then had; past its time the store is away, and nothing was written."""
     async def play() -> None:
@@ -96,7 +75,7 @@
     assert CliRunner().invoke(rollout, ["show", "-o", str(path)]).exit_code == 0
     for until, status in ((20.0, 0), (60.0, 2)):
         held = Held(tmp_path / "agreed.db", until)
-        monkeypatch.setattr(sqlite, "Turns", held.turns)
+        monkeypatch.setattr(shared_sqlite, "Turns", held.turns)
         got = CliRunner().invoke(rollout, ["budget", "--most", "3", "-o", str(path)])
         assert got.exit_code == status, got.output
         held.db.close()
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 import pytest
+from held import Held
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_rollout_stores import Held
 
 from burlloom.record.admin import Admin
 from burlloom.record.store import Refused
@@ -19,7 +19,7 @@
 from burlloom.record.recovery import Tick
 from burlloom.record.rows import BEGUN, KEPT, SPENT, Kind, Row, Word, Write, answer, applied
 from burlloom.record.seal import Sealer, key
-from burlloom.record.sqlite import Sqlite
+from burlloom.record.sqlite import Sqlite, connect
 from burlloom.standins.postgres import Postgres as StandIn
 
 SEALER = Sealer(b"k" * 32)
@@ -435,3 +435,19 @@
         assert (await again.open()).life == 2 and held.looks >= 100
         await again.close()
     asyncio.run(play())
+
+
+def test_a_file_that_another_makes_just_now_is_opened(tmp_path: Path) -> None:
+    """Its first page is there, and not yet whose it is; with anything in it, it is another program's."""
+    path = tmp_path / "record.db"
+    other = sqlite3.connect(path, isolation_level=None)
+    other.execute("PRAGMA auto_vacuum = INCREMENTAL")
+    other.execute("VACUUM")
+    assert path.stat().st_size and other.execute("PRAGMA application_id").fetchone() == (0,)
+    connect(path).close()
+    assert other.execute("PRAGMA application_id").fetchone() != (0,)
+    other.execute("PRAGMA application_id = 0")
+    other.execute("CREATE TABLE theirs (id)")
+    other.close()
+    with pytest.raises(Refused, match="another program"):
+        connect(path)
