Test of the scale commands takes the group by its name

Cause: the joined group in benchmarks/scale.py is called scale, the test asked for main. Change: the name in the test. Checked: its 17 tests pass.

--- a/tests/test_scale_servers.py
+++ b/tests/test_scale_servers.py
@@ -4,7 +4,7 @@
 import pytest
 import rig  # noqa: F401  (finds benchmarks/)
 from click.testing import CliRunner
-from scale import main
+from scale import scale
 from scale_crowd import START, Crowd, filled, members_most, terms, words
 from scale_servers import PARTS, Slope, measured, passed
 from scale_swarms import after_deaths, swarm_of
@@ -143,5 +143,5 @@
 
 
 def test_the_command_prints_a_table() -> None:
-    told = CliRunner().invoke(main, ["servers", "--part", "discovery", "--sizes", "30,100"])
+    told = CliRunner().invoke(scale, ["servers", "--part", "discovery", "--sizes", "30,100"])
     assert told.exit_code == 0 and "| discovery bytes | rest | B/s |" in told.output
