Distribution: refusals are counted in one place, not at each side

Seen on reading the change again: Follower and Source each had the same bounds and the same counting of refusals by reason. Change: refusals.py has both; no behaviour. Checked: mypy; 185 tests of the core, the server's side and the commands pass.

--- a/burlloom/distribution/follower.py
+++ b/burlloom/distribution/follower.py
@@ -24,6 +24,7 @@
 from .messages import (
     PAGES_MOST, PULL_MOST, Body, Bye, Digests, DigestsAsk, Message, Paged, PagesAsk, Pull, Pushed, Redirect,
     Report, Sender, Told, Unreadable, seal, unseal)
+from .refusals import REFUSALS_MOST, counted
 from .replica import Replica
 from .table import BUCKETS, Place
 from .terms import MS, Terms
@@ -36,7 +37,6 @@
 REPORTS_MOST = 4  # that may still be answered
 WORDS_MOST = 8  # of an upstream's age, for revisions that are still to come
 REFUSED_MOST = 3  # changes in a row that don't follow: then another upstream is asked
-REASONS_MOST, REFUSALS_MOST = 64, 32  # that are counted apart; that wait for the host's log
 UPSTREAMS_MOST = 64
 OUT_MOST = 256  # datagrams that wait for the host
 JITTER = 0.1
@@ -285,11 +285,7 @@
             self.refuse(reason, source)
 
     def refuse(self, reason: str, source: Address) -> None:
-        refused = self.counts.refused
-        if reason not in refused and len(refused) >= REASONS_MOST:
-            reason = "other reasons"
-        refused[reason] = refused.get(reason, 0) + 1
-        self.refusals.append((reason, source))
+        self.refusals.append((counted(self.counts.refused, reason), source))
 
     def headed(self, now: int, message: Message) -> str:
         assert isinstance(message.body, Told)
--- a/burlloom/distribution/source.py
+++ b/burlloom/distribution/source.py
@@ -15,6 +15,7 @@
 from .messages import (
     HALF, PAGE_BYTES, Body, Bye, Digests, DigestsAsk, Message, Paged, PagesAsk, Pull, Pushed, Redirect,
     Report, Sender, Told, Unreadable, Window, seal, unseal)
+from .refusals import REFUSALS_MOST, counted
 from .replica import Replica
 from .terms import MS, Terms
 
@@ -22,7 +23,6 @@
 SEALED_MOST = 512  # changes kept sealed, with and without bodies: 1.2 MB at most
 JUDGED_MOST = 64  # revisions back that a report's digest is still compared
 OUT_MOST = 32_768  # datagrams that wait for the host
-REASONS_MOST, REFUSALS_MOST = 64, 32  # that are counted apart; that wait for the host's log
 
 Address = tuple[str, int]
 
@@ -130,11 +130,7 @@
             self.refuse(reason, source)
 
     def refuse(self, reason: str, source: Address) -> None:
-        refused = self.counts.refused
-        if reason not in refused and len(refused) >= REASONS_MOST:
-            reason = "other reasons"
-        refused[reason] = refused.get(reason, 0) + 1
-        self.refusals.append((reason, source))
+        self.refusals.append((counted(self.counts.refused, reason), source))
 
     def reported(self, now: int, message: Message, source: Address) -> str:
         sender, body, head = message.sender, message.body, self.replica.head
