Log a stalled event loop, and how much of an abandoned reply had come

Change: the main loop's sleep is timed. One that ends over 250 ms late logs event=event_loop_stalled with late_ms and processor_ms, the processor time of the thread meanwhile. connection_closed of an abandoned call tells in its detail how many bytes of the reply had come.

--- a/burlloom/downstream/connection_pool.py
+++ b/burlloom/downstream/connection_pool.py
@@ -129,6 +129,7 @@
             # have arrived unread.
             if exchange.has_sent and read_unread_reply(exchange):
                 return exchange.result()
+            exchange.detail = f"after {exchange.reply.received_bytes} bytes of the reply"
             return CallStatus.TIMED_OUT if exchange.has_sent else CallStatus.UNREACHABLE, b""
         except (ConnectionEndedError, httptools.HttpParserError, OSError) as error:
             exchange.reason, exchange.detail = close_reason(error)
--- a/burlloom/downstream/wire.py
+++ b/burlloom/downstream/wire.py
@@ -62,10 +62,12 @@
     Attributes:
         is_complete: Whether the reply is completely received.
         is_reusable: Whether the connection may carry another call.
+        received_bytes: How many bytes were received, interim replies included.
     """
 
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
+        self.received_bytes = 0
         self.pieces: list[bytes] = []
         self.body_bytes = self.header_bytes = self.status = 0
         self.is_rejected = self.is_complete = self.is_reusable = False
@@ -78,6 +80,7 @@
             httptools.HttpParserError: The bytes are not HTTP, or the body is too large.
             ConnectionEndedError: The headers are too large.
         """
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
--- a/burlloom/server/server.py
+++ b/burlloom/server/server.py
@@ -19,6 +19,7 @@
 from ..sockets import NS_PER_MS, TaskSupervisor, is_out_of_descriptors, sleep_ns
 from .clock import Clock
 from .configuration import ConfigurationError, ServerConfig, read_config
+from .event_loop_monitor import EventLoopMonitor
 from .request_handler import RequestHandler
 from .subsystems import SubsystemFactory
 
@@ -172,9 +173,10 @@
 
     async def main_loop(self, dispatcher: Dispatcher) -> None:
         """Runs a round of the dispatcher whenever its next timer is due; never returns."""
+        monitor = EventLoopMonitor()
         due_ns = dispatcher.fire_due_timers(Gauges())
         while True:
-            await sleep_ns(due_ns - self.clock())
+            await monitor.sleep_ns(due_ns - self.clock())
             try:
                 due_ns = await self._run_round(dispatcher)
             except Exception:
