Reading a reply after its call timed out no longer holds the event loop

Cause: read_unread_reply looks for a reply that a pause of the process left unread. It read in a loop on the thread of the event loop for as long as bytes came and the reply was not complete, so a reply that keeps coming held the loop until the peer closed.

Change: at most 32 reads of 4 KiB.

--- a/burlloom/downstream/connection_pool.py
+++ b/burlloom/downstream/connection_pool.py
@@ -26,6 +26,10 @@
 # without showing whether it ran.
 IDLE_TIMEOUT_NS = 7 * NS_PER_SECOND
 MAX_IDLE_CONNECTIONS = 16
+# Reads of a reply whose call has timed out. They run without a yield to the event loop, and a
+# dependency that never stops sending must not hold it. What a pause of the process leaves unread
+# fits into them, as the receive buffer of a new connection holds no more.
+MAX_FINAL_READS = 32
 
 
 class Exchange:
@@ -224,11 +228,16 @@
 
 
 def read_unread_reply(exchange: Exchange) -> bool:
-    """Reads the bytes that are still unread; returns whether they complete the reply."""
+    """Reads the bytes that are still unread; returns whether they complete the reply.
+
+    Reads at most `MAX_FINAL_READS` times.
+    """
     sock, reply = exchange.socket, exchange.reply
     assert sock is not None
     try:
-        while not reply.is_complete and (data := sock.recv(READ_BUFFER_BYTES)):
+        for _ in range(MAX_FINAL_READS):
+            if reply.is_complete or not (data := sock.recv(READ_BUFFER_BYTES)):
+                break
             reply.feed_data(data)
     except (OSError, ConnectionEndedError, httptools.HttpParserError):
         pass
