A reply that is over its limits is logged as too_large, not as malformed

Cause: ReplyParser raised ConnectionEndedError in callbacks of httptools, which turns it into an HttpParserCallbackError. The close was logged as malformed with "`on_body` callback error", so that the log could not tell a large reply from a broken one.

Change: the callbacks only note what they see; check_size judges after each piece. The body is kept in one bytearray in place of a list of pieces, as a piece of one byte took 40.

--- a/burlloom/downstream/wire.py
+++ b/burlloom/downstream/wire.py
@@ -44,6 +44,11 @@
     CONNECTION_LOST = "connection_lost"
 
 
+def too_large_error(detail: str) -> ConnectionEndedError:
+    """Returns the error for a part of a reply that is over its limit."""
+    return ConnectionEndedError(CloseReason.TOO_LARGE, detail)
+
+
 def encode_request(host: str, request_id: str, body: bytes, timeout_ns: int) -> bytes:
     """Returns the bytes of a call that the dependency may abandon after `timeout_ns`."""
     head = (
@@ -63,13 +68,14 @@
         is_complete: Whether the reply is completely received.
         is_reusable: Whether the connection may carry another call.
         received_bytes: How many bytes were received, interim replies included.
+        header_bytes: How many bytes were received until the headers were complete.
+        announced_bytes: The length of the body that the headers announce; 0 if they do not.
     """
 
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
-        self.received_bytes = 0
-        self.pieces: list[bytes] = []
-        self.body_bytes = self.header_bytes = self.status = 0
+        self.content = bytearray()
+        self.received_bytes = self.header_bytes = self.announced_bytes = self.status = 0
         self.is_rejected = self.is_complete = self.is_reusable = False
         self.is_in_body = False
 
@@ -77,8 +83,8 @@
         """Parses received bytes.
 
         Raises:
-            httptools.HttpParserError: The bytes are not HTTP, or the body is too large.
-            ConnectionEndedError: The headers are too large.
+            httptools.HttpParserError: The bytes are not HTTP.
+            ConnectionEndedError: The headers, the body or its framing are too large.
         """
         self.received_bytes += len(data)
         try:
@@ -88,10 +94,24 @@
                 raise
         if not self.is_in_body:
             self.header_bytes += len(data)
-            if self.header_bytes > MAX_HEADER_BYTES and not self.is_complete:
-                raise ConnectionEndedError(
-                    CloseReason.TOO_LARGE, f"reply headers over {MAX_HEADER_BYTES} bytes"
-                )
+        self.check_size()
+
+    def check_size(self) -> None:
+        """Checks the size of each part of the reply.
+
+        The `on_` methods do not: httptools would turn their error into one of its own.
+
+        Raises:
+            ConnectionEndedError: A part is too large, or the headers announce a body that is.
+        """
+        if len(self.content) > MAX_BODY_BYTES:
+            raise too_large_error(f"reply body over {MAX_BODY_BYTES} bytes")
+        if self.is_complete:
+            return
+        if self.announced_bytes > MAX_BODY_BYTES:
+            raise too_large_error(f"announced reply body over {MAX_BODY_BYTES} bytes")
+        if self.header_bytes > MAX_HEADER_BYTES:
+            raise too_large_error(f"reply headers over {MAX_HEADER_BYTES} bytes")
 
     def on_message_begin(self) -> None:
         """Handles the start of the reply, of an interim one, or of a further, unexpected one."""
@@ -101,19 +121,13 @@
             self.is_rejected = self.is_in_body = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Handles one header.
-
-        Raises:
-            ConnectionEndedError: The header announces a body that is too large.
-        """
+        """Handles one header."""
         if self.is_complete:
             return
         name = name.lower()
         self.is_rejected |= name == b"x-declined" and value.strip() == b"1"
-        if name == b"content-length" and value.strip().isdigit() and int(value) > MAX_BODY_BYTES:
-            raise ConnectionEndedError(
-                CloseReason.TOO_LARGE, f"announced reply body over {MAX_BODY_BYTES} bytes"
-            )
+        if name == b"content-length" and value.strip().isdigit():
+            self.announced_bytes = int(value)
 
     def on_headers_complete(self) -> None:
         """Handles the end of the headers."""
@@ -121,19 +135,9 @@
         self.is_in_body = self.is_in_body or not is_interim
 
     def on_body(self, body: bytes) -> None:
-        """Handles a piece of the body.
-
-        Raises:
-            ConnectionEndedError: The body is too large.
-        """
-        if self.is_complete:
-            return
-        self.body_bytes += len(body)
-        if self.body_bytes > MAX_BODY_BYTES:
-            raise ConnectionEndedError(
-                CloseReason.TOO_LARGE, f"reply body over {MAX_BODY_BYTES} bytes"
-            )
-        self.pieces.append(body)
+        """Handles a piece of the body."""
+        if not self.is_complete:
+            self.content += body
 
     def on_message_complete(self) -> None:
         """Handles the end of the reply or of an interim one.
@@ -148,7 +152,7 @@
 
     def body(self) -> bytes:
         """Returns the body as far as it is received."""
-        return b"".join(self.pieces)
+        return bytes(self.content)
 
     def call_status(self) -> CallStatus:
         """Returns the call status that a complete reply means."""
--- a/tests/test_downstream_replies.py
+++ b/tests/test_downstream_replies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import os
 import select
 import socket
@@ -18,7 +19,7 @@
 from burlloom.downstream import CallStatus, ConnectionPool, connection_pool
 from burlloom.downstream.connection_pool import Exchange, read_unread_reply
 from burlloom.fakes.parts import Balancer, fields
-from burlloom.sockets import NS_PER_MS
+from burlloom.sockets import NS_PER_MS, NS_PER_SECOND
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 # How a reply begins, and the piece that then keeps coming.
@@ -39,6 +40,33 @@
 PROTOCOL_TOLERANCE_S = 0.11  # of the rule on deadlines: 60 ms, and 50 ms on sockets
 
 
+def test_a_reply_over_its_limits_is_logged_as_too_large(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against the close reason `malformed` for a valid reply that is only too large."""
+    caplog.set_level(logging.INFO)
+
+    async def call(reply: bytes) -> CallStatus:
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(reply)
+            await reader.read()
+            writer.close()
+
+        async with await asyncio.start_server(answer, "127.0.0.1", 0) as server:
+            pool = ConnectionPool(server.sockets[0].getsockname())
+            status, _ = await pool.call("0" * 16, b"", 5 * NS_PER_SECOND, False)
+        return status
+
+    for reply in (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * ((1 << 20) + 1),
+        b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20000,
+    ):
+        assert uvloop.run(call(reply)) is CallStatus.CONNECTION_LOST
+    assert caplog.text.count("reason=too_large") == 3, caplog.text
+
+
 class EndlessSocket:
     """A socket on which the peer always has more bytes waiting.
 
