The framing of a reply's body is bounded: chunk lengths, extensions, trailers

Cause: ReplyParser counted the headers and the body, and nothing between. Lengths of chunks, their extensions and trailers had no bound, and a trailer's value is joined anew with each piece, so that its cost grows with the square of its bytes.

Evidence: event_loop_stalled beside the bytes of the abandoned call: 893 MB of a chunk length in 3.9 s, but 13.9 MB of a trailer in 24.8 s.

Change: what is neither headers nor body counts as framing, 64 KiB of one reply at most.

--- a/burlloom/downstream/wire.py
+++ b/burlloom/downstream/wire.py
@@ -27,6 +27,7 @@
 
 MAX_BODY_BYTES = 1 << 20
 MAX_HEADER_BYTES = 16 << 10  # of one reply, including the interim replies (1xx) before it
+MAX_FRAMING_BYTES = 64 << 10  # of one body: lengths and extensions of its chunks, and trailers
 
 
 class CallStatus(Enum):
@@ -112,6 +113,8 @@
             raise too_large_error(f"announced reply body over {MAX_BODY_BYTES} bytes")
         if self.header_bytes > MAX_HEADER_BYTES:
             raise too_large_error(f"reply headers over {MAX_HEADER_BYTES} bytes")
+        if self.received_bytes - self.header_bytes - len(self.content) > MAX_FRAMING_BYTES:
+            raise too_large_error(f"framing of a reply body over {MAX_FRAMING_BYTES} bytes")
 
     def on_message_begin(self) -> None:
         """Handles the start of the reply, of an interim one, or of a further, unexpected one."""
--- a/tests/test_downstream_replies.py
+++ b/tests/test_downstream_replies.py
@@ -18,8 +18,9 @@
 
 from burlloom.downstream import CallStatus, ConnectionPool, connection_pool
 from burlloom.downstream.connection_pool import Exchange, read_unread_reply
+from burlloom.downstream.wire import MAX_BODY_BYTES, ReplyParser
 from burlloom.fakes.parts import Balancer, fields
-from burlloom.sockets import NS_PER_MS, NS_PER_SECOND
+from burlloom.sockets import NS_PER_MS, NS_PER_SECOND, CloseReason, ConnectionEndedError
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 # How a reply begins, and the piece that then keeps coming.
@@ -34,6 +35,7 @@
     "chunks of a byte": (CHUNKED_HEAD, b"1\r\nb\r\n"),
 }
 PIECE_BYTES = 256 << 10
+MAX_REPLY_BYTES = MAX_BODY_BYTES + (128 << 10)  # its headers and framing included
 DEADLINE_S = 1.0
 POUR_S = 4.0  # several deadlines long
 REQUEST_INTERVAL_S = 0.1
@@ -67,6 +69,31 @@
     assert caplog.text.count("reason=too_large") == 3, caplog.text
 
 
+@pytest.mark.parametrize("piece_bytes", [1, 4096])
+@pytest.mark.parametrize("form", ENDLESS_REPLIES)
+def test_no_part_of_a_reply_may_grow_without_end(form: str, piece_bytes: int) -> None:
+    """Guards against chunk lengths and trailers that take memory and time without bound."""
+    head, piece = ENDLESS_REPLIES[form]
+    reply = ReplyParser()
+    if head:
+        reply.feed_data(head)
+    stream = piece * (2 * MAX_REPLY_BYTES // len(piece))
+    with pytest.raises(ConnectionEndedError) as caught:
+        for start in range(0, len(stream), piece_bytes):
+            reply.feed_data(stream[start : start + piece_bytes])
+    assert caught.value.reason is CloseReason.TOO_LARGE
+    assert reply.received_bytes <= MAX_REPLY_BYTES + piece_bytes
+
+
+def test_a_body_in_the_smallest_chunks_is_taken() -> None:
+    """Guards against a bound on framing that a small body in many chunks would reach."""
+    body = b"x" * 10_000
+    reply = ReplyParser()
+    reply.feed_data(CHUNKED_HEAD + b"1\r\nx\r\n" * len(body) + b"0\r\n\r\n")
+    assert reply.is_complete
+    assert reply.body() == body
+
+
 class EndlessSocket:
     """A socket on which the peer always has more bytes waiting.
 
