--- a/benchmarks/admission_core.py
+++ b/benchmarks/admission_core.py
@@ -25,9 +25,8 @@
     RequestClass,
     ServerSettings,
 )
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
-NS_PER_MS = 1_000_000
-NS_PER_SECOND = 1_000_000_000
 ARRIVALS_PER_SECOND = 400
 CORES = 8
 MEAN_RUN_MS = 20.0
--- a/benchmarks/distribution_core.py
+++ b/benchmarks/distribution_core.py
@@ -12,7 +12,7 @@
 from time import process_time
 
 import msgpack
-from simulated_distribution import NS_PER_SECOND, SEALING_KEY, SIGNING_KEY, numbered_value
+from simulated_distribution import SEALING_KEY, SIGNING_KEY, numbered_value
 from test_distribution_core import (
     ADDRESS,
     INCARNATION,
@@ -32,6 +32,7 @@
     Upstream,
     propose,
 )
+from burlloom.time_units import NS_PER_SECOND
 
 FOLLOWERS, IDLE_SECONDS, CHANGES, SYNC_ENTRIES = 300, 20, 20, 100_000
 
--- a/benchmarks/fleet_shares.py
+++ b/benchmarks/fleet_shares.py
@@ -26,12 +26,12 @@
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
 from burlloom.fleet import MILLICALLS_PER_CALL, QuotaSettings, assign_subsets
-from burlloom.fleet.settings import NS_PER_MS
 from burlloom.fleet.subset import rank_services, rendezvous_rank
 from burlloom.lab import Scenario, run_scenario
 from burlloom.lab.clock import simulated_loop
 from burlloom.lab.emulator import Emulator, Observer
 from burlloom.lab.fleets import SimulatedFleet, SimulatedNetwork, Swarm
+from burlloom.time_units import NS_PER_MS
 
 SIZES = (3, 30, 300)
 
--- a/benchmarks/key_digests.py
+++ b/benchmarks/key_digests.py
@@ -22,8 +22,8 @@
 from burlloom.dispatcher.idempotency_table import IdempotencyTable  # noqa: E402
 from burlloom.dispatcher.key_digests import PackedKeyDigests  # noqa: E402
 from burlloom.dispatcher.timer_wheel import TimerWheel  # noqa: E402
+from burlloom.time_units import NS_PER_SECOND
 
-NS_PER_SECOND = 1_000_000_000
 WINDOW_NS = 18 * NS_PER_SECOND
 
 
--- a/benchmarks/rollout_core.py
+++ b/benchmarks/rollout_core.py
@@ -27,8 +27,8 @@
     agent,
 )
 from burlloom.rollout.stores import decode_state, encode_state
+from burlloom.time_units import NS_PER_SECOND
 
-NS_PER_SECOND = 1_000_000_000
 SETTINGS = RolloutSettings(
     canary=CanarySettings(window_ns=2 * NS_PER_SECOND, min_requests=50),
     low_traffic_timeout_ns=60 * NS_PER_SECOND,
--- a/benchmarks/scale_callers.py
+++ b/benchmarks/scale_callers.py
@@ -22,9 +22,10 @@
 
 from processes import TOLD, machine, main_thread_ns, numbers, status_mb, told  # noqa: E402
 from rig import Rig  # noqa: E402
-from traffic import SECOND, Load, LoadConnection, RunQueue, generate, receive, start_process  # noqa: E402
+from traffic import Load, LoadConnection, RunQueue, generate, receive, start_process  # noqa: E402
 
 from burlloom.lab.slopes import SLOPES_FILE, Row  # noqa: E402
+from burlloom.time_units import NS_PER_SECOND
 
 CONNECTIONS = "50,200,500,1000,2500,5000"
 CALLERS, SERVERS = 140_000, 2_600
@@ -94,13 +95,13 @@
             generator, pipe = start_process(generate, rig.address, load)
             try:
                 await receive(pipe, 60)
-                begin = time.monotonic_ns() + SECOND // 20
+                begin = time.monotonic_ns() + NS_PER_SECOND // 20
                 pipe.send(begin)
-                await asyncio.sleep((begin - time.monotonic_ns()) / SECOND + load.warm)
+                await asyncio.sleep((begin - time.monotonic_ns()) / NS_PER_SECOND + load.warm)
                 spent = await rate_of(pid, span)
                 more = status_mb(pid, "VmRSS") - memory
                 sent = await receive(pipe)
-                first = begin + int(load.warm * SECOND)
+                first = begin + int(load.warm * NS_PER_SECOND)
                 return more, (spent - rest) * span / max(
                     1, sum(one.intended >= first for one in sent)
                 )
--- a/benchmarks/scale_checker.py
+++ b/benchmarks/scale_checker.py
@@ -21,7 +21,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-NS_PER_SECOND = 1_000_000_000
+from burlloom.time_units import NS_PER_SECOND
+
 PAUSED_CALLS_NS = 6 * NS_PER_SECOND  # for which the calls of a paused server count as in progress
 MAX_FAULT_TEXTS = 100  # faults kept as text; further ones are only counted
 
--- a/benchmarks/scale_crowd.py
+++ b/benchmarks/scale_crowd.py
@@ -28,14 +28,13 @@
 from burlloom.fleet.gossip import MAX_PIGGYBACKED_UPDATES
 from burlloom.fleet.membership import MembershipView, hash_update
 from burlloom.fleet.messages import Message, MessageKind, decode, encode
-from burlloom.fleet.settings import NS_PER_MS as MS
 from burlloom.fleet.synchronization import PAGE_UPDATES
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
-SECOND = 1_000_000_000
 KEY = b"the benchmark's own key"
-START = 1_700_000_000 * SECOND
-TICK = 50 * MS  # as a server's
-SLOT = 100 * MS  # in which a part of the scripted peers has its turn
+START = 1_700_000_000 * NS_PER_SECOND
+TICK = 50 * NS_PER_MS  # as a server's
+SLOT = 100 * NS_PER_MS  # in which a part of the scripted peers has its turn
 DELAY = (0.3, 1.3)  # ms, one way
 PASSED_ON = 9  # messages a second with news on them: two probes, two answers, five reports
 DAY = 86_400
@@ -56,7 +55,7 @@
 
 def words(size: int) -> list[MemberUpdate]:
     """The first has lived longest, and deals."""
-    life = START // MS - DAY * 1000
+    life = START // NS_PER_MS - DAY * 1000
     return [
         MemberUpdate(
             f"n{at}", f"10.1.{at // 200}.{at % 200 + 1}:7946", life + at, 0, MemberState.ALIVE
@@ -167,7 +166,7 @@
         heapq.heappush(self.queue, (self.now + ns, next(self.numbers), what, told))
 
     def run(self, seconds: float) -> None:
-        until = self.now + int(seconds * SECOND)
+        until = self.now + int(seconds * NS_PER_SECOND)
         while self.queue and self.queue[0][0] <= until:
             self.now, _, what, told = heapq.heappop(self.queue)
             what(*told)
@@ -175,7 +174,7 @@
 
     def delay(self) -> int:
         low, high = DELAY
-        return int((low + (high - low) * self.chance.random()) * MS)
+        return int((low + (high - low) * self.chance.random()) * NS_PER_MS)
 
     # The real member.
 
@@ -258,7 +257,7 @@
         self.later(self.delay(), self.hears, encode(letter, KEY))
 
     def compares(self, peer: Peer, letter: Message) -> None:
-        if letter.values[0] != peer.digest >> 1 and self.now - peer.synced >= 200 * MS:
+        if letter.values[0] != peer.digest >> 1 and self.now - peer.synced >= 200 * NS_PER_MS:
             peer.synced = self.now
             self.say(peer, MessageKind.SYNC, letter.sequence)
 
@@ -349,7 +348,7 @@
             self.learns(other, (peer.word, *self.gossip(peer)))
             self.learns(peer, (other.word, *self.gossip(other)))
             for one, another in ((peer, other), (other, peer)):
-                if one.digest != another.digest and self.now - one.synced >= 200 * MS:
+                if one.digest != another.digest and self.now - one.synced >= 200 * NS_PER_MS:
                     one.synced = self.now
                     self.later(
                         len(self.words) // PAGE_UPDATES * 2 * self.delay(),
@@ -376,7 +375,9 @@
     # Churn.
 
     def next_event(self) -> None:
-        self.later(int(self.chance.expovariate(self.churn * len(self.peers)) * SECOND), self.event)
+        self.later(
+            int(self.chance.expovariate(self.churn * len(self.peers)) * NS_PER_SECOND), self.event
+        )
 
     def event(self) -> None:
         others = [peer for peer in self.peers[3:] if peer.up and peer.at != self.at]
@@ -385,11 +386,11 @@
         if self.chance.random() < DEATHS / (DEATHS + RESTARTS):
             self.dies(peer)
             self.later(
-                120 * SECOND, self.comes, peer
+                120 * NS_PER_SECOND, self.comes, peer
             )  # a guess: the time until another machine stands in its place
         else:
             self.leaves(peer)
-            self.later(2 * SECOND, self.comes, peer)
+            self.later(2 * NS_PER_SECOND, self.comes, peer)
         self.next_event()
 
     def leaves(self, peer: Peer) -> None:
@@ -433,7 +434,9 @@
         peer.stale = len(self.words) * self.most // MAX_PIGGYBACKED_UPDATES
         self.becomes(
             peer,
-            MemberUpdate(peer.word.name, peer.word.address, self.now // MS, 0, MemberState.ALIVE),
+            MemberUpdate(
+                peer.word.name, peer.word.address, self.now // NS_PER_MS, 0, MemberState.ALIVE
+            ),
         )
 
 
--- a/benchmarks/scale_followers.py
+++ b/benchmarks/scale_followers.py
@@ -19,10 +19,10 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-from scale_checker import NS_PER_SECOND  # noqa: E402
 from scale_run import Phase, Run, Setting, host_lag_ms, percentile, start  # noqa: E402
 
 from burlloom.lab.slopes import Row, append_row, describe_fit, fit  # noqa: E402
+from burlloom.time_units import NS_PER_SECOND
 
 SIZES = {"followers": (25.0, 50.0, 100.0, 200.0, 400.0), "changes": (0.4, 1.0, 2.0, 4.0, 8.0)}
 # Time in ms after which a follower abandons its upstream. Hosts whose event loops were later lacked
--- a/benchmarks/scale_request.py
+++ b/benchmarks/scale_request.py
@@ -49,7 +49,6 @@
 from rig import Rig  # noqa: E402
 from scale_configuration import tenants  # noqa: E402
 from traffic import (
-    SECOND,
     Load,
     RunQueue,
     Sent,
@@ -63,9 +62,10 @@
 )  # noqa: E402
 
 from burlloom.lab.slopes import SLOPES_FILE, Row  # noqa: E402
+from burlloom.time_units import NS_PER_SECOND
 
 RATES = "50,100,200,300,500,700,1000"
-CALM = 2 * SECOND
+CALM = 2 * NS_PER_SECOND
 SETTLE = 1.0  # s with idle connections, whose processor time is subtracted
 
 
@@ -134,11 +134,11 @@
         before, since = main_thread_ns(pid), time.monotonic_ns()
         await asyncio.sleep(SETTLE)
         idle = (main_thread_ns(pid) - before) / (time.monotonic_ns() - since)
-        begin = time.monotonic_ns() + SECOND // 5
+        begin = time.monotonic_ns() + NS_PER_SECOND // 5
         pipe.send(begin)
         first, last = (
-            begin + int(load.warm * SECOND),
-            begin + int((load.warm + load.seconds) * SECOND),
+            begin + int(load.warm * NS_PER_SECOND),
+            begin + int((load.warm + load.seconds) * NS_PER_SECOND),
         )
         await rest(first)
         happening = asyncio.create_task(what.happens(rig, first)) if what is not None else None
@@ -182,7 +182,7 @@
 
 async def rest(until: int) -> None:
     """Waits until a monotonic time in ns."""
-    await asyncio.sleep(max(0, until - time.monotonic_ns()) / SECOND)
+    await asyncio.sleep(max(0, until - time.monotonic_ns()) / NS_PER_SECOND)
 
 
 async def harness(load: Load) -> Told:
@@ -191,9 +191,9 @@
     generator, pipe = start_process(generate, await receive(ours), load)
     try:
         await receive(pipe)
-        begin = time.monotonic_ns() + SECOND // 5
+        begin = time.monotonic_ns() + NS_PER_SECOND // 5
         pipe.send(begin)
-        return summarize(await receive(pipe), {}, begin + int(load.warm * SECOND))
+        return summarize(await receive(pipe), {}, begin + int(load.warm * NS_PER_SECOND))
     finally:
         for one in (generator, process):
             one.kill()
@@ -304,7 +304,7 @@
         f"request p99 added least{kind}",
         "ms",
         [least_p99(play) for play in plays],
-        f"of each {CALM // SECOND} s of the run the p99, and of these the least: what others on the machine add is"
+        f"of each {CALM // NS_PER_SECOND} s of the run the p99, and of these the least: what others on the machine add is"
         f" mostly not in it; no measure of 99 in 100 over a long time; {about}",
     )
     ends = passed_at(rates, [one.p99 for one in found], ADDED_MS, 1e5)
@@ -317,12 +317,15 @@
     click.echo(f"a whole core is passed at {'none' if ends is None else f'{ends:.0f}'} a second")
 
 
-BEFORE, AFTER = SECOND // 4, SECOND * 3 // 4  # ns around an event whose requests are measured
-APART = 2 * SECOND  # ns between an event and a time without any
+BEFORE, AFTER = (
+    NS_PER_SECOND // 4,
+    NS_PER_SECOND * 3 // 4,
+)  # ns around an event whose requests are measured
+APART = 2 * NS_PER_SECOND  # ns between an event and a time without any
 SETTLED = 2.5  # s from the begin to the first event
 CUT = 6.0  # s of a cut, after which the others have declared the server dead
 NEARLY = 0.95  # share of the members that is enough, because on a busy machine a few are always suspected
-WHILE = 6 * SECOND
+WHILE = 6 * NS_PER_SECOND
 HOLLOW_MOST = 100  # members in one process
 TENANTS, MEMBERS = "10000,30000,100000,200000,430000", "10,30,100,200,300"
 
@@ -360,7 +363,7 @@
     async def happens(self, rig: Rig, first: int) -> list[int]:
         found = []
         for turn in range(self.times):
-            await rest(first + int((SETTLED + turn * self.gap) * SECOND))
+            await rest(first + int((SETTLED + turn * self.gap) * NS_PER_SECOND))
             found.append(time.monotonic_ns())
             rig.process.send_signal(signal.SIGHUP)
         return found
@@ -451,7 +454,7 @@
 
     def __init__(self, count: int, times: int, gap: float) -> None:
         super().__init__(count, times, gap)
-        self.beside = int((CUT + 1) * SECOND)  # before the cut
+        self.beside = int((CUT + 1) * NS_PER_SECOND)  # before the cut
         self.seconds = SETTLED + times * (CUT + gap)
         self.buried: list[
             float
@@ -460,7 +463,7 @@
     async def happens(self, rig: Rig, first: int) -> list[int]:
         found = []
         for turn in range(self.times):
-            await rest(first + int((SETTLED + turn * (CUT + self.gap)) * SECOND))
+            await rest(first + int((SETTLED + turn * (CUT + self.gap)) * NS_PER_SECOND))
             self.tell("cut")
             await asyncio.sleep(CUT)
             self.buried.append(
@@ -516,7 +519,7 @@
         return found
 
     async def happens(self, rig: Rig, first: int) -> list[int]:
-        await rest(first + int(self.seconds * SECOND))
+        await rest(first + int(self.seconds * NS_PER_SECOND))
         phase = (await self.seen())[1]
         assert phase != "IDLE", "the release was over before the count"
         return []
--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -33,13 +33,14 @@
 sys.path.insert(0, str(Path(__file__).parent))
 
 from hollow_hosts import KEY, Hosts, clock, row, spread, usage  # noqa: E402
-from scale_checker import NS_PER_SECOND, Budget, Checker, digest_of  # noqa: E402
+from scale_checker import Budget, Checker, digest_of
 from scale_real import Below, Real, ready  # noqa: E402
 
 from burlloom.distribution import ConfigItem, ReplicationSettings, propose  # noqa: E402
 from burlloom.distribution.stores.sqlite import SqliteChangeStore  # noqa: E402
 from burlloom.lab.distances import ZONES, lay_out_servers, make_place  # noqa: E402
 from burlloom.lab.rules import RuleChecker  # noqa: E402
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
 SIGNING_KEY = "7c" * 32
 # Largest lag in ms of the hosts' event loops in 99 of 100 seconds: a sixth of the time limit of a
@@ -57,7 +58,6 @@
 REPLACEMENT_S = 10.0  # s until a server that died is replaced
 CALLS_PER_SERVER = 4.0  # quota of downstream calls for each server of the fleet
 MEMBERS_PER_HOST = 50  # fleet members in one host process, because each sends to all others
-NS_PER_MS = 1_000_000
 
 
 @dataclass
--- a/benchmarks/scale_servers.py
+++ b/benchmarks/scale_servers.py
@@ -29,7 +29,6 @@
     DEATHS,
     KEY,
     RESTARTS,
-    SECOND,
     START,
     Crowd,
     Tally,
@@ -57,6 +56,7 @@
 from burlloom.rollout import agent as agent_module
 from burlloom.rollout.stores import decode_state, encode_state
 from burlloom.rollout.stores.sqlite import SqliteRolloutStore
+from burlloom.time_units import NS_PER_SECOND
 
 SIZES = (30, 100, 300, 600, 1000, 1500, 2600)
 BUDGETS = {"ms/s": 37.0, "B/s": 9000.0, "MB": 128.0}  # limits of a server for all of its control
@@ -253,8 +253,10 @@
     crowd = Crowd(size, at, fresh)
     while fresh.view.digest != crowd.peers[0].digest:
         crowd.run(0.1)
-        assert crowd.now - START < 300 * SECOND, f"{len(fresh.view.by_name)} of {size} after 300 s"
-    took, tally = (crowd.now - START) / SECOND, crowd.tally
+        assert crowd.now - START < 300 * NS_PER_SECOND, (
+            f"{len(fresh.view.by_name)} of {size} after 300 s"
+        )
+    took, tally = (crowd.now - START) / NS_PER_SECOND, crowd.tally
     host, name, spent, pages, octets = filled(all_of, 0), "", 0, 0, 0
     while True:
         data = encode(Message(MessageKind.SYNC, all_of[at], 1, (), name), KEY)
@@ -408,12 +410,12 @@
         for word in words(size):
             reports = HealthReporter(service.getsockname(), word.name)
             reports.last_reported = True
-            for _ in range(SECOND // REPORT_INTERVAL_NS):
+            for _ in range(NS_PER_SECOND // REPORT_INTERVAL_NS):
                 began = thread_time_ns()
                 reports.send()
                 spent += thread_time_ns() - began
             reports.socket.close()
-            for _ in range(SECOND // REPORT_INTERVAL_NS):
+            for _ in range(NS_PER_SECOND // REPORT_INTERVAL_NS):
                 octets += len(service.recv(2048))
                 heard += 1
     note = "real reports over loopback, five a second from each; the name service itself is the platform's and not measured"
--- a/benchmarks/traffic.py
+++ b/benchmarks/traffic.py
@@ -29,8 +29,8 @@
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent / "tests")]
 
 from burlloom.fakes.parts import Catalogue, Executor, Reply, fields  # noqa: E402
+from burlloom.time_units import NS_PER_SECOND
 
-SECOND = 1_000_000_000
 MAX_OPEN_REQUESTS = 32  # of one connection; the server has the same limit
 ANSWER_GRACE_S = 12.0  # how long answers are awaited after the last request
 RESULT = b"r" * 200
@@ -183,7 +183,7 @@
     begin_ns = pipe.recv()
     due_times_ns, offset_s = [], 0.0
     while (offset_s := offset_s + chance.expovariate(load.rate)) < load.warm + load.seconds:
-        due_times_ns.append(begin_ns + int(offset_s * SECOND))
+        due_times_ns.append(begin_ns + int(offset_s * NS_PER_SECOND))
     by_descriptor = {connection.sock.fileno(): connection for connection in connections}
     for descriptor in by_descriptor:
         poller.register(descriptor, select.EPOLLIN)
@@ -192,7 +192,7 @@
     outcomes: list[Sent] = []
     overdue_ns: deque[int] = deque()
     last_used = next_due = sent_count = 0
-    until_ns = begin_ns + int((load.warm + load.seconds + ANSWER_GRACE_S) * SECOND)
+    until_ns = begin_ns + int((load.warm + load.seconds + ANSWER_GRACE_S) * NS_PER_SECOND)
     while (now_ns := time.monotonic_ns()) < until_ns:
         while next_due < len(due_times_ns) and due_times_ns[next_due] <= now_ns:
             overdue_ns.append(due_times_ns[next_due])
@@ -210,7 +210,7 @@
         if next_due == len(due_times_ns) and not overdue_ns and len(outcomes) == sent_count:
             break
         wait_s = (
-            (due_times_ns[next_due] - time.monotonic_ns()) / SECOND
+            (due_times_ns[next_due] - time.monotonic_ns()) / NS_PER_SECOND
             if next_due < len(due_times_ns)
             else 0.05
         )
--- a/burlloom/command/distribution.py
+++ b/burlloom/command/distribution.py
@@ -14,6 +14,7 @@
 import click
 
 from ..signals import unblock_signals
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from .shared import exit_on_store_refusal, load_operator_file, operator_option, read_state_file
 
 if TYPE_CHECKING:
@@ -21,7 +22,6 @@
     from ..distribution.stores import ChangeStore
     from ..operator import Distribution, Operator
 
-NS_PER_MS, NS_PER_SECOND = 1_000_000, 1_000_000_000
 # A process rewrites its state file while it runs: if the state is older than this, the process has
 # ended or hangs.
 STALE_AFTER_S = 5
--- a/burlloom/command/fleet.py
+++ b/burlloom/command/fleet.py
@@ -12,14 +12,13 @@
 
 import click
 
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from .shared import load_operator_file, operator_option, read_state_file
 
 if TYPE_CHECKING:
     from ..fleet import MemberUpdate
     from ..operator import FleetPart
 
-NS_PER_SECOND = 1_000_000_000
-NS_PER_MS = 1_000_000
 MS_PER_S = 1000
 KEY_BYTES = 32
 KEY_FILE_MODE = 0o600
--- a/burlloom/command/levels.py
+++ b/burlloom/command/levels.py
@@ -10,13 +10,13 @@
 
 import click
 
+from ..time_units import NS_PER_SECOND
 from .shared import load_operator_file, operator_option, read_state_file
 
 if TYPE_CHECKING:
     from ..levels import LevelChange, LevelPlan, SignalBounds
     from ..operator import LevelsPart
 
-NS_PER_SECOND = 1_000_000_000
 PIN_DURATION_S = click.FloatRange(min=0.1, max=7 * 86_400)
 
 
--- a/burlloom/discovery/health_reporter.py
+++ b/burlloom/discovery/health_reporter.py
@@ -9,7 +9,8 @@
 import time
 from collections.abc import Callable
 
-from ..sockets import NS_PER_SECOND, sleep_ns
+from ..sockets import sleep_ns
+from ..time_units import NS_PER_SECOND
 
 log = logging.getLogger(__name__)
 
--- a/burlloom/dispatcher/idempotency_table.py
+++ b/burlloom/dispatcher/idempotency_table.py
@@ -7,7 +7,7 @@
 
 from collections import OrderedDict
 
-from ..sockets import NS_PER_MS
+from ..time_units import NS_PER_MS
 from .key_digests import PackedKeyDigests
 from .timer_wheel import TimerWheel
 
--- a/burlloom/distribution/control_node.py
+++ b/burlloom/distribution/control_node.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from .changes import Head
 from .codec import is_for_source
 from .endpoint import Endpoint
@@ -25,7 +26,6 @@
 
 log = logging.getLogger(__name__)
 
-NS_PER_MS, NS_PER_SECOND = 1_000_000, 1_000_000_000
 TICK_S = 0.05  # between two runs of the timers
 POLL_INTERVAL_S = 0.2  # between two polls of the store
 STORE_TIMEOUT_NS = 1500 * NS_PER_MS  # without a successful poll, after which peers are followed
--- a/burlloom/distribution/follower.py
+++ b/burlloom/distribution/follower.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
+from ..time_units import NS_PER_MS
 from ..transition_table import parse_transitions
 from .changes import (
     MAX_NUMBER,
@@ -47,7 +48,7 @@
 )
 from .refusals import MAX_PENDING_REFUSALS, count_refusal
 from .replica import Replica
-from .settings import NS_PER_MS, ReplicationSettings
+from .settings import ReplicationSettings
 from .table import BUCKET_COUNT
 from .upstreams import Address, Upstream, by_preference
 
--- a/burlloom/distribution/settings.py
+++ b/burlloom/distribution/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-NS_PER_MS = 1_000_000
+from ..time_units import NS_PER_MS
 
 
 @dataclass(frozen=True, slots=True)
--- a/burlloom/distribution/source.py
+++ b/burlloom/distribution/source.py
@@ -12,6 +12,7 @@
 from random import Random
 from typing import Any
 
+from ..time_units import NS_PER_MS
 from .changes import Change
 from .codec import MessageDecodeError, seal, unseal
 from .counters import export_counters
@@ -35,7 +36,7 @@
 from .refusals import MAX_PENDING_REFUSALS, count_refusal
 from .replay_window import ReplayWindow
 from .replica import Replica
-from .settings import NS_PER_MS, ReplicationSettings
+from .settings import ReplicationSettings
 
 MAX_PUSH_CHANGES = 64  # new changes pushed at once; if there are more, followers pull them
 MAX_SEALED_CHANGES = 512  # cached datagrams of changes, with and without bodies; at most 1.2 MB
--- a/burlloom/downstream/connection_pool.py
+++ b/burlloom/downstream/connection_pool.py
@@ -8,13 +8,8 @@
 
 import httptools
 
-from ..sockets import (
-    NS_PER_SECOND,
-    CloseReason,
-    ConnectionEndedError,
-    SocketReader,
-    open_stream_socket,
-)
+from ..sockets import CloseReason, ConnectionEndedError, SocketReader, open_stream_socket
+from ..time_units import NS_PER_SECOND
 from .wire import CallStatus, ReplyParser, encode_request
 
 log = logging.getLogger(__name__)
--- a/burlloom/downstream/wire.py
+++ b/burlloom/downstream/wire.py
@@ -18,7 +18,8 @@
 
 import httptools
 
-from ..sockets import NS_PER_MS, CloseReason, ConnectionEndedError
+from ..sockets import CloseReason, ConnectionEndedError
+from ..time_units import NS_PER_MS
 
 HTTP_OK = 200  # statuses below this are interim
 HTTP_CONFLICT = 409
--- a/burlloom/executor/connection.py
+++ b/burlloom/executor/connection.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 
 from ..sockets import (
-    NS_PER_SECOND,
     CloseReason,
     ConnectionEndedError,
     ReceiveBuffer,
@@ -21,6 +20,7 @@
     open_stream_socket,
     sleep_ns,
 )
+from ..time_units import NS_PER_SECOND
 from . import wire
 from .wire import Command, NoticeKind, RunStatus
 
--- a/burlloom/executor/wire.py
+++ b/burlloom/executor/wire.py
@@ -27,7 +27,8 @@
 from enum import Enum, StrEnum
 from typing import NamedTuple
 
-from ..sockets import NS_PER_MS, CloseReason, ConnectionEndedError, ReceiveBuffer
+from ..sockets import CloseReason, ConnectionEndedError, ReceiveBuffer
+from ..time_units import NS_PER_MS
 
 MAX_LINE_BYTES = 4 << 10
 MAX_BODY_BYTES = 1 << 20
--- a/burlloom/fleet/allocator.py
+++ b/burlloom/fleet/allocator.py
@@ -27,10 +27,11 @@
 from collections.abc import Callable, Mapping
 from enum import IntEnum
 
+from ..time_units import NS_PER_MS
 from ..transition_table import parse_transitions
 from .accounts import MemberAccount, MemberPresence, ShareReport
 from .fair_share import max_min_fair, round_down_to_calls, round_to_calls
-from .settings import MILLICALLS_PER_CALL, NS_PER_MS, QuotaSettings
+from .settings import MILLICALLS_PER_CALL, QuotaSettings
 from .totals import AllocationTotals
 
 __all__ = ["Allocator", "AllocatorInput", "AllocatorPhase"]
--- a/burlloom/fleet/member.py
+++ b/burlloom/fleet/member.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping
 from random import Random
 
+from ..time_units import NS_PER_MS
 from .allocator import Allocator
 from .gossip import GossipSender
 from .lease_holder import LeaseHolder
@@ -22,7 +23,7 @@
 from .messages import Message, MessageDecodeError, MessageKind, decode
 from .probing import Prober
 from .quota import QuotaProtocol
-from .settings import MILLICALLS_PER_CALL, NS_PER_MS, GossipSettings, QuotaSettings
+from .settings import MILLICALLS_PER_CALL, GossipSettings, QuotaSettings
 from .synchronization import ViewSynchronizer
 
 __all__ = ["FleetMember", "summarize"]
--- a/burlloom/fleet/settings.py
+++ b/burlloom/fleet/settings.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass
 
+from ..time_units import NS_PER_MS
+
 __all__ = ["MILLICALLS_PER_CALL", "NS_PER_MS", "GossipSettings", "QuotaSettings"]
 
 MILLICALLS_PER_CALL = 1000
-NS_PER_MS = 1_000_000
 
 # Minimum lease in report intervals; a lease then survives the loss of two reports in a row.
 _MIN_REPORTS_PER_LEASE = 8
--- a/burlloom/lab/clock.py
+++ b/burlloom/lab/clock.py
@@ -9,7 +9,8 @@
 from itertools import count
 from typing import Any
 
-NS_PER_SECOND = 1_000_000_000
+from ..time_units import NS_PER_SECOND
+
 EPOCH_NS = 1_700_000_000 * NS_PER_SECOND  # Unix time at which simulated time begins
 
 
--- a/burlloom/lab/downstream.py
+++ b/burlloom/lab/downstream.py
@@ -5,7 +5,8 @@
 from numpy.random import Generator
 
 from ..downstream import CallStatus
-from .clock import NS_PER_SECOND, SimulatedLoop
+from ..time_units import NS_PER_SECOND
+from .clock import SimulatedLoop
 from .load import draw_lognormal
 from .scenario import Downstream
 
--- a/burlloom/lab/fleets.py
+++ b/burlloom/lab/fleets.py
@@ -26,7 +26,8 @@
 from ..server.membership import FleetMembership
 from ..server.recovery import RestartRecovery
 from ..server.server import Server
-from .clock import EPOCH_NS, NS_PER_SECOND, SimulatedLoop
+from ..time_units import NS_PER_SECOND
+from .clock import EPOCH_NS, SimulatedLoop
 from .emulator import Emulator
 from .node import Node
 
--- a/burlloom/lab/hollow.py
+++ b/burlloom/lab/hollow.py
@@ -48,7 +48,6 @@
 # Datagrams queued for a paused server, as in the buffer of a socket; further ones are lost.
 MAX_WAITING_DATAGRAMS = 200
 ABANDONED_CALL_S = 6.0  # s for which the calls of a paused server stay in progress downstream
-NS_PER_SECOND = 1_000_000_000
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
 
 
--- a/burlloom/lab/node.py
+++ b/burlloom/lab/node.py
@@ -15,7 +15,7 @@
 from ..server.service_levels import ServiceLevels
 from ..server.subsystems import SubsystemFactory
 from ..settings import parse_server_settings
-from .clock import NS_PER_SECOND
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from .downstream import EmulatedPool
 from .load import ClientRequest
 from .machine import Cores, EmulatedExecutor
@@ -24,7 +24,6 @@
     from .callers import Attempt
     from .emulator import Emulator
 
-NS_PER_MS = 1_000_000
 NO_ADDRESS = ("", 0)  # no socket is opened
 
 
--- a/burlloom/lab/variants.py
+++ b/burlloom/lab/variants.py
@@ -11,9 +11,9 @@
 from ..server.configured_service_levels import ConfiguredServiceLevels
 from ..server.server import Server
 from ..server.service_levels import ServiceLevels
+from ..time_units import NS_PER_SECOND
 
 LevelsFactory = Callable[[Server], ServiceLevels] | None
-NS_PER_SECOND = 1_000_000_000
 UNLIMITED_CHANGES = 1 << 30  # level changes per minute
 
 
--- a/burlloom/levels/signals.py
+++ b/burlloom/levels/signals.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-NS_PER_SECOND = 1_000_000_000
-NS_PER_MS = 1_000_000
+from ..time_units import NS_PER_MS, NS_PER_SECOND
+
 # Tenants measured at a time; each takes a few hundred bytes. Beyond this number, the tenant whose
 # last request is the oldest is dropped.
 MAX_TENANTS = 4096
--- a/burlloom/levels/state_machine.py
+++ b/burlloom/levels/state_machine.py
@@ -22,7 +22,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-NS_PER_SECOND = 1_000_000_000
+from ..time_units import NS_PER_SECOND
+
 NS_PER_MINUTE = 60 * NS_PER_SECOND
 # Shares of the callers that the successive steps of a trial serve at the level above.
 TRIAL_SHARES = (0.1, 0.3, 0.6, 0.9)
--- a/burlloom/operator/distribution.py
+++ b/burlloom/operator/distribution.py
@@ -6,6 +6,7 @@
 
 from pydantic import Field
 
+from ..time_units import NS_PER_MS
 from .fleet import SocketAddress, read_keys
 from .part import Part
 
@@ -13,7 +14,6 @@
     from ..distribution.settings import ReplicationSettings
     from ..distribution.upstreams import Upstream as FollowedUpstream
 
-NS_PER_MS = 1_000_000
 MIN_SIGNING_KEY_BYTES, MAX_KEYS_PER_FILE = 16, 8
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 Region = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,32}$")]
--- a/burlloom/operator/fleet.py
+++ b/burlloom/operator/fleet.py
@@ -5,12 +5,12 @@
 
 from pydantic import Field, model_validator
 
+from ..time_units import NS_PER_MS
 from .part import Part
 
 if TYPE_CHECKING:
     from ..fleet import GossipSettings, QuotaSettings
 
-NS_PER_MS = 1_000_000
 # An IPv4 address with a port; host names are not looked up.
 SocketAddress = Annotated[str, Field(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
 DurationMs = Annotated[int, Field(ge=1, le=86_400_000)]
--- a/burlloom/operator/levels.py
+++ b/burlloom/operator/levels.py
@@ -14,9 +14,9 @@
     SignalBounds,
 )
 from ..levels.plan import DROP_ALL_VALUES, find_plan_faults
+from ..time_units import NS_PER_MS
 from .part import Part
 
-NS_PER_MS = 1_000_000
 Share = Annotated[float, Field(ge=0, le=1)]
 DurationMs = Annotated[int, Field(ge=0, le=3_600_000)]
 
--- a/burlloom/operator/recovery.py
+++ b/burlloom/operator/recovery.py
@@ -5,12 +5,12 @@
 
 from pydantic import Field, model_validator
 
+from ..time_units import NS_PER_MS
 from .part import Part
 
 if TYPE_CHECKING:
     from ..recovery import RecoveryPolicy
 
-NS_PER_MS = 1_000_000
 DurationMs = Annotated[int, Field(ge=1, le=86_400_000)]
 Share = Annotated[float, Field(gt=0, le=1)]
 
--- a/burlloom/operator/rollout.py
+++ b/burlloom/operator/rollout.py
@@ -4,13 +4,13 @@
 
 from pydantic import Field, model_validator
 
+from ..time_units import NS_PER_MS
 from .fleet import SocketAddress
 from .part import Part
 
 if TYPE_CHECKING:
     from ..rollout import DisruptionBudget, RolloutSettings, release
 
-NS_PER_MS = 1_000_000
 DurationMs = Annotated[int, Field(ge=1, le=86_400_000)]
 Share = Annotated[float, Field(gt=0, lt=1)]
 Wave = int | Annotated[str, Field(pattern=r"^[0-9]{1,3}(\.[0-9]+)?%$")]
--- a/burlloom/record/circuit_breaker.py
+++ b/burlloom/record/circuit_breaker.py
@@ -10,9 +10,10 @@
 from collections import OrderedDict
 from enum import IntEnum
 
+from ..time_units import NS_PER_MS
+
 __all__ = ["BreakerEffect", "BreakerEvent", "BreakerState", "CircuitBreaker"]
 
-NS_PER_MS = 1_000_000
 MAX_CONSECUTIVE_FAILURES = 5  # failures in a row that open the breaker
 MIN_PROBE_PAUSE_NS = 250 * NS_PER_MS
 MAX_PROBE_PAUSE_NS = 4000 * NS_PER_MS
--- a/burlloom/record/coordinator.py
+++ b/burlloom/record/coordinator.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator
 
 from ..admission.model import Outcome
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from . import failpoints
 from .authentication import RowAuthenticator
 from .circuit_breaker import CircuitBreaker
@@ -25,8 +26,6 @@
 
 log = logging.getLogger(__name__)
 
-NS_PER_MS = 1_000_000
-NS_PER_SECOND = 1_000_000_000
 TICK_INTERVAL_S = 0.05  # between checks for ended windows and ticks of the circuit breaker
 FINAL_STATES = (
     RequestState.CLOSED,
--- a/burlloom/record/request_registry.py
+++ b/burlloom/record/request_registry.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import Callable
 
+from ..time_units import NS_PER_SECOND
 from .request_lifecycle import DurableRequest
 
 __all__ = ["RequestRegistry"]
 
 MAX_REQUESTS = 8192  # beyond it, no further claim or lookup is sent to the store
-NS_PER_SECOND = 1_000_000_000
 
 
 class RequestRegistry:
--- a/burlloom/record/request_writer.py
+++ b/burlloom/record/request_writer.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from .authentication import RowAuthenticator
 from .policy import RecordObserver
 from .request_lifecycle import DurableRequest, RequestEvent, RequestState
@@ -13,8 +14,6 @@
 
 __all__ = ["ResultFetcher", "RequestWriter"]
 
-NS_PER_MS = 1_000_000
-NS_PER_SECOND = 1_000_000_000
 # Bounds of the pause before a write or read is sent again; the pause doubles with each attempt.
 MIN_RETRY_PAUSE_NS = 20 * NS_PER_MS
 MAX_RETRY_PAUSE_NS = 1000 * NS_PER_MS
--- a/burlloom/record/sqlite_admin.py
+++ b/burlloom/record/sqlite_admin.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any
 
+from ..time_units import NS_PER_SECOND
 from . import schema
 from . import sqlite_statements as sql
 from .authentication import RowAuthenticator
@@ -23,7 +24,6 @@
 
 __all__ = ["RecordStats", "SqliteRecordAdmin", "VerificationReport", "format_time"]
 
-NS_PER_SECOND = 1_000_000_000
 BUSY_TIMEOUT_S = 5.0  # how long a statement waits for a lock on the file
 MAX_STRUCTURE_FAULTS = 20  # faults of the file structure that `verify` lists
 NO_TIME_TEXT = "-"
--- a/burlloom/record/sqlite_snapshot.py
+++ b/burlloom/record/sqlite_snapshot.py
@@ -5,8 +5,9 @@
 from contextlib import closing
 from pathlib import Path
 
+from ..time_units import NS_PER_SECOND
 from . import sqlite_statements as sql
-from .sqlite_admin import NS_PER_SECOND, SqliteRecordAdmin, VerificationReport
+from .sqlite_admin import SqliteRecordAdmin, VerificationReport
 from .store import StoreRefusedError
 
 __all__ = ["merge_snapshot", "restore_snapshot", "take_snapshot"]
--- a/burlloom/record/store_health.py
+++ b/burlloom/record/store_health.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 
+from ..time_units import NS_PER_MS
 from .circuit_breaker import BreakerEffect, CircuitBreaker
 from .store import RecordStore
 
@@ -10,8 +11,6 @@
 
 log = logging.getLogger(__name__)
 
-NS_PER_MS = 1_000_000
-
 
 class StoreHealth:
     """Executes the effects of the circuit breaker.
--- a/burlloom/recovery/controller.py
+++ b/burlloom/recovery/controller.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass
 
+from ..time_units import NS_PER_MS
 from .bootstrap import EVENT_BY_VALIDITY, Bootstrap, BootstrapEvent, BootstrapState
 from .call_slow_start import CallSlowStart, StepOutcome
 from .retry_budget import RetryBudget
 from .snapshot import RecoverySnapshot, SnapshotValidity, validate_snapshot
 
-NS_PER_MS = 1_000_000
 # Calls that a step needs for a conclusive outcome; the cap, if lower, suffices.
 MIN_CALLS_PER_STEP = 3
 # Share of failed calls in a step from which the cap is halved.
--- a/burlloom/rollout/liveness.py
+++ b/burlloom/rollout/liveness.py
@@ -14,7 +14,6 @@
 from typing import NamedTuple
 
 __all__ = [
-    "NS_PER_SECOND",
     "LivenessObserver",
     "Observation",
     "RequestCounts",
@@ -22,8 +21,6 @@
     "ServerReport",
 ]
 
-NS_PER_SECOND = 1_000_000_000
-
 
 class ServerPhase(IntEnum):
     """Phase in the life cycle of a server; stored as a number."""
--- a/burlloom/rollout/settings.py
+++ b/burlloom/rollout/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .liveness import NS_PER_SECOND
+from ..time_units import NS_PER_SECOND
 
 __all__ = ["CanarySettings", "RolloutSettings"]
 
--- a/burlloom/rollout/stores/sql.py
+++ b/burlloom/rollout/stores/sql.py
@@ -8,6 +8,7 @@
 from abc import abstractmethod
 from typing import Any
 
+from ...time_units import NS_PER_MS
 from ..liveness import ServerReport
 from ..state import RolloutState
 from .base import RolloutStore, StateSnapshot
@@ -17,7 +18,6 @@
 
 log = logging.getLogger(__name__)
 
-_NS_PER_MS = 1_000_000
 
 # The first revision is the current time in ms. If the state is created again, its revisions are
 # larger than all earlier ones, so no write that is based on the earlier state can succeed.
@@ -61,7 +61,7 @@
     async def open(self) -> None:
         """Applies missing schema migrations, and writes an empty state if there is none."""
         await self.prepare()
-        first_revision = time.time_ns() // _NS_PER_MS
+        first_revision = time.time_ns() // NS_PER_MS
         await self.execute(_CREATE_STATE, first_revision, encode_state(RolloutState()))
 
     async def read(self, known: StateSnapshot | None = None) -> StateSnapshot:
--- a/burlloom/rollout/supervision.py
+++ b/burlloom/rollout/supervision.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from typing import NamedTuple
 
+from ..time_units import NS_PER_MS
 from .group import SERVERS_GROUP
 from .instance import Instance, InstanceInput, InstanceState
 from .liveness import LivenessObserver, ServerPhase, ServerReport
@@ -17,7 +18,6 @@
 DOWNSTREAM_FAILURE_SHARE = 0.5
 # With fewer calls, succeeded and failed together, a downstream instance never counts as lost.
 DOWNSTREAM_MIN_CALLS = 5
-_NS_PER_MS = 1_000_000
 
 
 class _TimeoutInput(NamedTuple):
@@ -167,7 +167,7 @@
         return self.observer.unchanged_for_ns(now_ns, key, step)
 
     def _max_absence_ns(self, group: str, instance: Instance) -> int:
-        drain_ns = instance.drain_ms * _NS_PER_MS
+        drain_ns = instance.drain_ms * NS_PER_MS
         if group == SERVERS_GROUP:
             return max(self.settings.return_timeout_ns, drain_ns)
         return drain_ns or self.settings.return_timeout_ns
--- a/burlloom/rpc/listener.py
+++ b/burlloom/rpc/listener.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable
 
 from ..sockets import (
-    NS_PER_MS,
-    NS_PER_SECOND,
     CloseReason,
     ConnectionClose,
     TaskSupervisor,
@@ -17,6 +15,7 @@
     is_out_of_descriptors,
     sleep_ns,
 )
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from . import wire
 from .connection import Connection
 from .incoming_request import IncomingRequest, RequestRules
--- a/burlloom/rpc/wire.py
+++ b/burlloom/rpc/wire.py
@@ -34,7 +34,7 @@
 import re
 from typing import Any
 
-from ..sockets import NS_PER_MS, NS_PER_SECOND
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from . import frames
 from .incoming_request import IncomingRequest, MalformedRequestError, RequestRules, Responder
 
--- a/burlloom/server/configuration.py
+++ b/burlloom/server/configuration.py
@@ -9,7 +9,7 @@
 from ..admission.model import ServerSettings
 from ..errors import BurlloomError
 from ..settings import parse_server_settings
-from ..sockets import NS_PER_MS
+from ..time_units import NS_PER_MS
 from .configuration_schema import MAX_PORT, ConfigurationFault, find_faults
 
 Address = tuple[str, int]
--- a/burlloom/server/configured_membership.py
+++ b/burlloom/server/configured_membership.py
@@ -18,7 +18,8 @@
 from ..fleet import MILLICALLS_PER_CALL, FleetMember, MemberState, MemberUpdate, summarize
 from ..operator import FleetPart
 from ..operator.fleet import read_keys
-from ..sockets import NS_PER_MS, NS_PER_SECOND, TaskSupervisor, sleep_ns
+from ..sockets import TaskSupervisor, sleep_ns
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from .call_share import CallShare, call_shares
 from .clock import boot_time_ns
 from .recovery import RestartRecovery
--- a/burlloom/server/configured_recovery.py
+++ b/burlloom/server/configured_recovery.py
@@ -11,7 +11,7 @@
 
 from .. import recovery as decisions
 from ..dispatcher import Dispatcher
-from ..sockets import NS_PER_MS, NS_PER_SECOND
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 
 if TYPE_CHECKING:
     from ..recovery import RecoveryPolicy
--- a/burlloom/server/configured_request_record.py
+++ b/burlloom/server/configured_request_record.py
@@ -14,7 +14,7 @@
 from ..record import failpoints
 from ..record.coordinator import RecordCoordinator
 from ..record.store import StoreRefusedError
-from ..sockets import NS_PER_MS
+from ..time_units import NS_PER_MS
 from .configuration import ConfigurationError
 
 log = logging.getLogger(__name__)
--- a/burlloom/server/configured_rollout.py
+++ b/burlloom/server/configured_rollout.py
@@ -32,7 +32,8 @@
     StoreUnavailableError,
 )
 from ..rollout.stores.leader_round import run_leader_round
-from ..sockets import NS_PER_MS, TaskSupervisor, sleep_ns
+from ..sockets import TaskSupervisor, sleep_ns
+from ..time_units import NS_PER_MS
 from .clock import boot_time_ns
 from .rollout import RolloutHost
 
--- a/burlloom/server/configured_service_levels.py
+++ b/burlloom/server/configured_service_levels.py
@@ -23,7 +23,7 @@
     LevelPlan,
     SignalReadings,
 )
-from ..sockets import NS_PER_MS, NS_PER_SECOND
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from .level_pin import PinFile
 from .service_levels import NoteStore, sampling_draw
 
--- a/burlloom/server/event_loop_monitor.py
+++ b/burlloom/server/event_loop_monitor.py
@@ -3,7 +3,8 @@
 import logging
 import time
 
-from ..sockets import NS_PER_MS, sleep_ns
+from ..sockets import sleep_ns
+from ..time_units import NS_PER_MS
 
 log = logging.getLogger(__name__)
 
--- a/burlloom/server/followed_configuration.py
+++ b/burlloom/server/followed_configuration.py
@@ -18,7 +18,8 @@
 from ..distribution.follower import summary
 from ..distribution.status_report import HeadLogger, KeyFile, replica_summary, write_state
 from ..operator import DistributionPart
-from ..sockets import NS_PER_MS, NS_PER_SECOND, TaskSupervisor, sleep_ns
+from ..sockets import TaskSupervisor, sleep_ns
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from .clock import boot_time_ns
 from .tenant_portions import ServedTenants, TenantPortions
 
--- a/burlloom/server/operator_subsystems.py
+++ b/burlloom/server/operator_subsystems.py
@@ -14,7 +14,7 @@
 from ..levels.plan import find_plan_faults
 from ..operator import DistributionPart, FleetPart, Operator, OperatorFileError, load
 from ..record.store import StoreRefusedError
-from ..sockets import NS_PER_MS, NS_PER_SECOND
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from .configuration import ConfigurationError, ServerConfig
 from .metrics_exposition import MetricsExposition
 from .subsystems import SubsystemFactory
--- a/burlloom/server/recovery.py
+++ b/burlloom/server/recovery.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from ..dispatcher import Dispatcher
-from ..sockets import NS_PER_MS
+from ..time_units import NS_PER_MS
 
 
 class RestartRecovery(Protocol):
--- a/burlloom/server/request_handler.py
+++ b/burlloom/server/request_handler.py
@@ -22,7 +22,8 @@
 from ..downstream import CallStatus, ConnectionPool
 from ..executor import ExecutorConnection, RunStatus
 from ..rpc import IncomingRequest
-from ..sockets import NS_PER_MS, TaskSupervisor, sleep_ns
+from ..sockets import TaskSupervisor, sleep_ns
+from ..time_units import NS_PER_MS
 from .configuration import ServerConfig
 from .outcomes import CALL_OUTCOMES, RUN_OUTCOMES, send_answer
 
--- a/burlloom/server/server.py
+++ b/burlloom/server/server.py
@@ -16,7 +16,8 @@
 from ..executor import ExecutorConnection
 from ..rpc import RequestRules, RpcListener
 from ..settings import parse_gauges
-from ..sockets import NS_PER_MS, TaskSupervisor, is_out_of_descriptors, sleep_ns
+from ..sockets import TaskSupervisor, is_out_of_descriptors, sleep_ns
+from ..time_units import NS_PER_MS
 from .clock import Clock
 from .configuration import ConfigurationError, ServerConfig, read_config
 from .event_loop_monitor import EventLoopMonitor
--- a/burlloom/server/service_subset.py
+++ b/burlloom/server/service_subset.py
@@ -10,7 +10,8 @@
 from ..downstream import CallStatus
 from ..downstream.service_pools import ServicePools
 from ..fleet import WeightedRoundRobin, assign_subsets
-from ..sockets import NS_PER_SECOND, TaskSupervisor
+from ..sockets import TaskSupervisor
+from ..time_units import NS_PER_SECOND
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/burlloom/server/tenant_portions.py
+++ b/burlloom/server/tenant_portions.py
@@ -9,7 +9,7 @@
 
 from ..distribution import Replica
 from ..distribution.table import BUCKET_COUNT
-from ..sockets import NS_PER_SECOND
+from ..time_units import NS_PER_SECOND
 
 if TYPE_CHECKING:
     from ..distribution import Head
--- a/burlloom/sockets/__init__.py
+++ b/burlloom/sockets/__init__.py
@@ -1,21 +1,19 @@
 """Building blocks of all connections: reader, writer, orderly close and reasons for a close.
 
-The package also has the task supervisor, the socket options that the event loop needs, and units of
-time.
+The package also has the task supervisor, the socket options that the event loop needs, and a
+sleep in nanoseconds.
 """
 
 from .close_reasons import CloseReason, ConnectionEndedError
 from .connection_close import ConnectionClose
 from .receive_buffer import ReceiveBuffer
+from .sleep import sleep_ns
 from .socket_reader import SocketReader, has_unread_bytes
 from .socket_writer import SocketWriter
 from .stream_sockets import configure_socket, is_out_of_descriptors, open_stream_socket
 from .task_supervisor import TaskSupervisor
-from .time_units import NS_PER_MS, NS_PER_SECOND, sleep_ns
 
 __all__ = [
-    "NS_PER_MS",
-    "NS_PER_SECOND",
     "CloseReason",
     "ConnectionClose",
     "ConnectionEndedError",
--- a/burlloom/sockets/connection_close.py
+++ b/burlloom/sockets/connection_close.py
@@ -3,9 +3,9 @@
 import asyncio
 import socket
 
+from ..time_units import NS_PER_MS, NS_PER_SECOND
 from .socket_reader import SocketReader
 from .socket_writer import SocketWriter
-from .time_units import NS_PER_MS, NS_PER_SECOND
 
 CLOSE_TIMEOUT_NS = 500 * NS_PER_MS
 DISCARD_BUFFER_BYTES = 4 << 10
--- a/burlloom/sockets/time_units.py
+++ b/burlloom/sockets/sleep.py
@@ -1,9 +1,8 @@
-"""Units of time. Durations are whole nanoseconds; only asyncio is given seconds."""
+"""Sleeps for durations in nanoseconds; asyncio takes seconds."""
 
 import asyncio
 
-NS_PER_MS = 1_000_000
-NS_PER_SECOND = 1_000_000_000
+from ..time_units import NS_PER_SECOND
 
 
 async def sleep_ns(duration_ns: int) -> None:
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -29,10 +29,9 @@
     ServerSettings,
 )
 from burlloom.admission.lifecycle import State  # noqa: E402
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
-NS_PER_MS = 1_000_000
-NS_PER_S = 1000 * NS_PER_MS
-WINDOW_NS = 5 * NS_PER_S
+WINDOW_NS = 5 * NS_PER_SECOND
 LINGER_NS = 200 * NS_PER_MS
 TIMER_INTERVAL_NS = 100 * NS_PER_MS
 LIVE_REQUESTS = 4
@@ -46,9 +45,9 @@
 def server_settings(call_quota: float) -> ServerSettings:
     """Returns the settings of one server with this quota of calls."""
     request_class = RequestClass(
-        latency_objective_ns=60 * NS_PER_S,
+        latency_objective_ns=60 * NS_PER_SECOND,
         latency_objective_stretch=0.0,
-        deadline_ns=120 * NS_PER_S,
+        deadline_ns=120 * NS_PER_SECOND,
         idempotency=Idempotency.IDEMPOTENT,
         idempotency_window_ns=0,
         late_value_share=0.0,
@@ -63,14 +62,14 @@
         max_runs_per_core=5.0,
         starts_cold=True,
         cold_speed_share=0.2,
-        warm_up_ns=10 * NS_PER_S,
+        warm_up_ns=10 * NS_PER_SECOND,
         call_quota=call_quota,
         call_quota_window_ns=WINDOW_NS,
         abandoned_call_linger_ns=LINGER_NS,
-        drain_grace_ns=NS_PER_S,
+        drain_grace_ns=NS_PER_SECOND,
         max_retry_after_ns=0,
         result_cache_ttl_ns=0,
-        idle_timeout_ns=9 * NS_PER_S,
+        idle_timeout_ns=9 * NS_PER_SECOND,
         load_report_kind=LoadReportKind.NONE,
         request_classes=(request_class,),
     )
@@ -159,7 +158,7 @@
     budget: float  # calls that the dependency survives, as a mean number open over WINDOW_NS
     call_ns: int  # duration of a call
     seed: int = 1
-    now: int = 1_000_000 * NS_PER_S
+    now: int = 1_000_000 * NS_PER_SECOND
     events: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = field(
         default_factory=list
     )
@@ -299,18 +298,18 @@
     budget: float,
     call_ns: int,
     seed: int,
-    length_ns: int = 40 * NS_PER_S,
+    length_ns: int = 40 * NS_PER_SECOND,
 ) -> FleetSimulation:
     """Simulates one of `SCENARIOS` for a time."""
     simulation = FleetSimulation(processes, budget, call_ns, seed)
     for index, server in enumerate(simulation.servers):
-        simulation.after(index % 3 * 4 * NS_PER_S if name == "waves" else 0, server.start)
+        simulation.after(index % 3 * 4 * NS_PER_SECOND if name == "waves" else 0, server.start)
         if name == "restarts":
             plan_restarts(simulation, server)
         elif name == "pauses":
             for pause_at_s in (8, 25):
-                pause_ns = simulation.random.choice((1, 6, 12)) * NS_PER_S
-                simulation.after(pause_at_s * NS_PER_S, simulation.pause, server, pause_ns)
+                pause_ns = simulation.random.choice((1, 6, 12)) * NS_PER_SECOND
+                simulation.after(pause_at_s * NS_PER_SECOND, simulation.pause, server, pause_ns)
     simulation.run(length_ns)
     return simulation
 
@@ -320,8 +319,8 @@
     random = simulation.random
     for restart_at_s in (6, 14, 25):
         if random.random() < 0.8:
-            delay_ns = restart_at_s * NS_PER_S + random.randrange(NS_PER_S)
-            pause_ns = 400 * NS_PER_MS + random.randrange(NS_PER_S)
+            delay_ns = restart_at_s * NS_PER_SECOND + random.randrange(NS_PER_SECOND)
+            pause_ns = 400 * NS_PER_MS + random.randrange(NS_PER_SECOND)
             simulation.after(delay_ns, simulation.restart, server, pause_ns)
 
 
--- a/tests/explore_distribution.py
+++ b/tests/explore_distribution.py
@@ -39,9 +39,8 @@
 from burlloom.distribution.changes import chain_break
 from burlloom.distribution.codec import is_for_source
 from burlloom.distribution.table import BUCKET_COUNT, ItemPosition, Page, bucket_of
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
-NS_PER_MS = 1_000_000
-NS_PER_SECOND = 1000 * NS_PER_MS
 SIGNING_KEY, SEALING_KEY = b"signing key of a test", b"sealing key of a test"
 START_NS = 10**12
 ADDRESS = ("10.0.0.1", 1)
--- a/tests/explore_levels.py
+++ b/tests/explore_levels.py
@@ -13,8 +13,8 @@
     DegradationStatus,
     HysteresisPolicy,
 )
+from burlloom.time_units import NS_PER_SECOND
 
-NS_PER_SECOND = 1_000_000_000
 NOW_NS = 1000 * NS_PER_SECOND
 
 
--- a/tests/simulate.py
+++ b/tests/simulate.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterator
 
 from burlloom.executor import RunStatus
-from burlloom.lab.clock import EPOCH_NS, NS_PER_SECOND, SimulatedLoop, simulated_loop
+from burlloom.lab.clock import EPOCH_NS, SimulatedLoop, simulated_loop
 from burlloom.record.authentication import RowAuthenticator
 from burlloom.record.coordinator import RecordCoordinator
 from burlloom.record.policy import RecordPolicy
@@ -34,8 +34,8 @@
 from burlloom.server.server import Server
 from burlloom.server.subsystems import SubsystemFactory
 from burlloom.settings import parse_server_settings
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
-NS_PER_MS = 1_000_000
 UNUSED_ADDRESS = ("", 0)  # no socket is opened
 AUTHENTICATOR = RowAuthenticator(b"s" * 32)
 SETTINGS = {
--- a/tests/simulated_distribution.py
+++ b/tests/simulated_distribution.py
@@ -30,9 +30,8 @@
     is_for_source,
     propose,
 )
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
-NS_PER_MS = 1_000_000
-NS_PER_SECOND = 1000 * NS_PER_MS
 SIGNING_KEY, SEALING_KEY = b"signing key of a test", b"sealing key of a test"
 STORE_POLL_INTERVAL_NS = 200 * NS_PER_MS  # between a control machine's polls of the store
 
--- a/tests/test_circuit_breaker.py
+++ b/tests/test_circuit_breaker.py
@@ -8,13 +8,13 @@
     HANG_TIMEOUT_MULTIPLE,
     MAX_CONSECUTIVE_FAILURES,
     MAX_PROBE_PAUSE_NS,
-    NS_PER_MS,
     BreakerEffect,
     BreakerState,
     CircuitBreaker,
 )
 from burlloom.record.clock_shift import MIN_CLOCK_STEP_NS, ClockReading, compute_clock_shift
 from burlloom.record.request_lifecycle import DurableRequest, RequestEvent, RequestState
+from burlloom.time_units import NS_PER_MS
 
 WRITE_TIMEOUT_NS = 100 * NS_PER_MS
 
--- a/tests/test_configuration_distribution.py
+++ b/tests/test_configuration_distribution.py
@@ -25,7 +25,6 @@
 from burlloom.distribution.table import ConfigTable
 
 SIGNING_KEY = b"s" * 32
-NS_PER_SECOND = 1_000_000_000
 
 
 def tenant(name: str, **value: Any) -> ConfigItem:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -14,7 +14,7 @@
     RequestSlot,
 )
 from burlloom.settings import parse_server_settings
-from burlloom.sockets import NS_PER_SECOND
+from burlloom.time_units import NS_PER_SECOND
 
 
 def test_request_released_before_its_coroutine_starts_still_gets_its_answer() -> None:
--- a/tests/test_distribution_core.py
+++ b/tests/test_distribution_core.py
@@ -12,8 +12,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from simulated_distribution import (
-    NS_PER_MS,
-    NS_PER_SECOND,
     SEALING_KEY,
     SIGNING_KEY,
     Node,
@@ -61,6 +59,7 @@
 from burlloom.distribution.source import summary as summary_of_source
 from burlloom.distribution.table import Page
 from burlloom.distribution.upstreams import by_preference
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
 # Time in which all nodes must converge after the failures, with a loss of up to 20%.
 CONVERGENCE_LIMIT_S = 30.0
--- a/tests/test_downstream_replies.py
+++ b/tests/test_downstream_replies.py
@@ -20,7 +20,8 @@
 from burlloom.downstream.connection_pool import Exchange, read_unread_reply
 from burlloom.downstream.wire import MAX_BODY_BYTES, ReplyParser
 from burlloom.fakes.parts import Balancer, fields
-from burlloom.sockets import NS_PER_MS, NS_PER_SECOND, CloseReason, ConnectionEndedError
+from burlloom.sockets import CloseReason, ConnectionEndedError
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 # How a reply begins, and the piece that then keeps coming.
--- a/tests/test_event_loop_monitor.py
+++ b/tests/test_event_loop_monitor.py
@@ -7,7 +7,7 @@
 import pytest
 
 from burlloom.server.event_loop_monitor import MAX_LATENESS_NS, EventLoopMonitor
-from burlloom.sockets import NS_PER_MS, NS_PER_SECOND
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
 STALL_S = 2 * MAX_LATENESS_NS / NS_PER_SECOND
 STALL_MS = 2 * MAX_LATENESS_NS // NS_PER_MS
--- a/tests/test_fleet_totals.py
+++ b/tests/test_fleet_totals.py
@@ -15,7 +15,8 @@
 
 from burlloom.fleet.accounts import MemberPresence, ShareReport
 from burlloom.fleet.allocator import Allocator, AllocatorPhase
-from burlloom.fleet.settings import MILLICALLS_PER_CALL, NS_PER_MS, QuotaSettings
+from burlloom.fleet.settings import MILLICALLS_PER_CALL, QuotaSettings
+from burlloom.time_units import NS_PER_MS
 
 
 class IteratingAllocator(Allocator):
--- a/tests/test_fleet_walks.py
+++ b/tests/test_fleet_walks.py
@@ -27,8 +27,9 @@
     hash_update,
 )
 from burlloom.fleet.messages import Message, MessageKind, decode, encode
-from burlloom.fleet.settings import MILLICALLS_PER_CALL, NS_PER_MS
+from burlloom.fleet.settings import MILLICALLS_PER_CALL
 from burlloom.fleet.synchronization import PAGE_UPDATES
+from burlloom.time_units import NS_PER_MS
 
 KEY, NOW_NS = b"the test's own key", 10**13
 NAMES = ["a", "b", "c", "d", "own"]
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -19,7 +19,7 @@
 from burlloom.server.configuration import ServerConfig, parse_address
 from burlloom.server.server import Server
 from burlloom.settings import parse_server_settings
-from burlloom.sockets import NS_PER_MS, NS_PER_SECOND
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
 CLIENTS_PER_ROUND, ROUNDS = 20, 10
 # A call is awaited for 25 times its expected duration, so that a reply that is late on a busy machine
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -5,7 +5,7 @@
 
 from burlloom.dispatcher.idempotency_table import FORMER_INCARNATION, NO_ORIGINAL, IdempotencyTable
 from burlloom.dispatcher.key_digests import PackedKeyDigests
-from burlloom.sockets import NS_PER_SECOND
+from burlloom.time_units import NS_PER_SECOND
 
 ENDED_KEY, OPEN_KEY, UNKNOWN_KEY = b"a" * 16, b"b" * 16, b"c" * 16
 
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import pytest
-from explore_levels import NOW_NS, NS_PER_SECOND, Explorer
+from explore_levels import NOW_NS, Explorer
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from test_fleet import fleet
@@ -35,6 +35,7 @@
 )
 from burlloom.levels.plan import DROP_ALL_VALUES, find_plan_faults
 from burlloom.levels.signals import SIGNAL_NAMES, SignalAggregator
+from burlloom.time_units import NS_PER_SECOND
 
 
 def make_request_class(
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -24,7 +24,8 @@
 from burlloom.fakes.parts import fields
 from burlloom.rpc import IncomingRequest, RequestRules, RpcListener
 from burlloom.rpc.connection import Connection
-from burlloom.sockets import NS_PER_MS, NS_PER_SECOND, CloseReason, TaskSupervisor
+from burlloom.sockets import CloseReason, TaskSupervisor
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
 RULES = RequestRules({"look": False}, (), 6 * NS_PER_SECOND)
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -36,8 +36,8 @@
 )
 from burlloom.recovery.bootstrap import RULES
 from burlloom.recovery.call_slow_start import StepOutcome
+from burlloom.time_units import NS_PER_MS
 
-NS_PER_MS = 1_000_000
 SNAPSHOT = RecoverySnapshot("n1", 1000, 5000, 3, 6.5, False, ("10.0.0.1:1", "10.0.0.2:1"))
 
 
--- a/tests/test_rollout_leader.py
+++ b/tests/test_rollout_leader.py
@@ -4,7 +4,7 @@
 
 import pytest
 import rig  # noqa: F401  (finds benchmarks/)
-from rollout_core import NS_PER_SECOND, SETTINGS, RolloutSimulation
+from rollout_core import SETTINGS, RolloutSimulation
 from rollout_waves import measure
 
 from burlloom.rollout import (
@@ -19,6 +19,7 @@
 )
 from burlloom.rollout.instance import InstanceInput
 from burlloom.rollout.release import ReleaseInput
+from burlloom.time_units import NS_PER_SECOND
 
 
 def test_a_bad_release_on_simulated_servers_is_halted_and_rolled_back() -> None:
--- a/tests/test_scale_request.py
+++ b/tests/test_scale_request.py
@@ -10,9 +10,10 @@
 from click.testing import CliRunner
 from scale import scale
 from scale_request import CALM, least_p99, played, windows
-from traffic import SECOND, Load, Sent, summarize
+from traffic import Load, Sent, summarize
 
 from burlloom.lab.slopes import newest_rows, read_rows
+from burlloom.time_units import NS_PER_SECOND
 
 
 def run(place: Path, *words: str) -> str:
@@ -82,14 +83,16 @@
     sent = [
         Sent("a", 0, 1 * ms, 12 * ms, "settled"),
         Sent("b", 0, 0, 40 * ms, "Backoff"),
-        Sent("c", SECOND, SECOND, SECOND, "lost"),
+        Sent("c", NS_PER_SECOND, NS_PER_SECOND, NS_PER_SECOND, "lost"),
     ]
-    told = summarize(sent, {"a": 10 * ms}, until=SECOND)
+    told = summarize(sent, {"a": 10 * ms}, until=NS_PER_SECOND)
     assert (told.count, told.how, told.longest) == (2, {"settled": 1, "Backoff": 1}, 40.0)
     assert told.p50 == told.p99 == pytest.approx(2.0, rel=0.01)
     assert told.whole_p99 == pytest.approx(12.0, rel=0.01)
     assert told.late_p99 == pytest.approx(1.0, rel=0.01)
-    assert windows(type("Play", (), {"sent": sent, "own": {}})(), [SECOND]).how == {"lost": 1}
+    assert windows(type("Play", (), {"sent": sent, "own": {}})(), [NS_PER_SECOND]).how == {
+        "lost": 1
+    }
 
 
 def test_a_member_rejoins_while_requests_come(tmp_path: Path) -> None:
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -9,10 +9,11 @@
 import pytest
 from hollow_hosts import KEY, Hosts, clock, spread
 from rig import ROOT, wait_until  # first: it has the benchmarks found
-from scale_checker import NS_PER_SECOND, Budget, Checker, Contents, Faults, digest_of, worst_rate
+from scale_checker import Budget, Checker, Contents, Faults, digest_of, worst_rate
 from scale_run import Setting, play_run
 
 from burlloom.lab.distances import Cut, lay_out_servers, make_place
+from burlloom.time_units import NS_PER_SECOND
 
 TOTAL = 30_000
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -40,8 +40,8 @@
     RequestClass,
     ServerSettings,
 )
+from burlloom.time_units import NS_PER_MS
 
-NS_PER_MS = 1_000_000
 TIMER_INTERVAL_MS = 100
 EFFECTS_ON_REQUESTS = {
     "start_run",
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -29,7 +29,7 @@
 
 from burlloom.discovery import HealthReporter
 from burlloom.fakes.parts import Catalogue, Executor, NameService, fields
-from burlloom.sockets import NS_PER_MS, NS_PER_SECOND
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
 # The shell command by which the deployed server ignores SIGHUP until it has installed its handler.
 DEPLOYMENT = (ROOT / "deploy" / "balancer.toml").read_text()
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -34,10 +34,10 @@
 from burlloom.record.sqlite_file import connect
 from burlloom.record.sqlite_snapshot import merge_snapshot, take_snapshot
 from burlloom.record.store import StoreRefusedError
+from burlloom.time_units import NS_PER_SECOND
 
 AUTHENTICATOR = RowAuthenticator(b"k" * 32)
 EXPIRY_NS = 1 << 62
-NS_PER_SECOND = 1_000_000_000
 KEY_DIGESTS = [bytes([n]) * 16 for n in range(3)]
 
 
--- a/tests/test_tenant_portions.py
+++ b/tests/test_tenant_portions.py
@@ -14,7 +14,7 @@
 from burlloom.rpc.incoming_request import MalformedRequestError, RequestRules
 from burlloom.rpc.wire import parse_request
 from burlloom.server.tenant_portions import COUNT_INTERVAL_NS, ServedTenants, TenantPortions
-from burlloom.sockets import NS_PER_MS, NS_PER_SECOND
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
 SIGNING_KEY = b"s" * 32
 # Upper bound on the steps that a count of a table with a few tenants takes.
