--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,7 +14,14 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / "benchmarks"))
 
-from burlloom.fakes.parts import Balancer, Catalogue, Executor, NameService, Reply  # noqa: E402
+from burlloom.fakes.parts import (  # noqa: E402
+    Balancer,
+    Catalogue,
+    Executor,
+    NameService,
+    Reply,
+    fields,
+)
 
 EXAMPLE_CONFIGURATION = json.loads((ROOT / "examples" / "configuration.json").read_text())
 # Longest time, in seconds, that a test waits for one event.
@@ -245,3 +252,10 @@
     error, result = await within_timeout(answer)
     assert result is None and error[0] == name, (error, result)
     return dict(error[1])
+
+
+async def serve_one_request(rig: Rig, balancer: Any) -> None:
+    """Checks that a request on this connection is run and answered."""
+    answer = balancer.ask("look", fields())
+    rig.executor.exit(await rig.command("EXEC", "look"), result=b"one")
+    await expect_result(answer, b"one")
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -2,14 +2,10 @@
 
 import asyncio
 import contextlib
-import json
 import os
 import re
 import resource
 import signal
-import socket
-import subprocess
-import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -17,11 +13,11 @@
 import msgpack
 import pytest
 from rig import (
-    EXAMPLE_CONFIGURATION,
     ROOT,
     Rig,
     expect_error,
     expect_result,
+    serve_one_request,
     wait_until,
     with_server,
     within_timeout,
@@ -116,13 +112,6 @@
     assert not health.shutdown.is_set()
 
 
-async def serve_one_request(rig: Rig, balancer: Any) -> None:
-    """Checks that a request on this connection is run and answered."""
-    answer = balancer.ask("look", fields())
-    rig.executor.exit(await rig.command("EXEC", "look"), result=b"one")
-    await expect_result(answer, b"one")
-
-
 @with_server(n_cores=4)
 async def test_the_executor_connection_is_lost_during_a_run(rig: Rig) -> None:
     """Ends of runs while disconnected are received later; only a lost command is sent again."""
@@ -317,142 +306,6 @@
     await expect_result(repeat, b"paid")
 
 
-# Replies of the downstream that prove that the call did not run.
-NOT_RUN_REPLIES = [(503, True, b""), (409, True, b"")]
-MALFORMED_REPLIES = [
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20000,
-    b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nbody",
-    b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
-]
-VALID_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwell"
-VALID_REPLIES_WITH_SURPLUS = [
-    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX: y\r\n\r\n" + VALID_REPLY,
-    VALID_REPLY * 2,
-    VALID_REPLY + b"\x00\xff",
-    VALID_REPLY + b"\r\n\r\nnoise",
-]
-# Failures after which the call may have run.
-UNCERTAIN_REPLIES = [
-    *MALFORMED_REPLIES,
-    (500, False, b""),
-    (504, False, b""),
-    (503, False, b""),
-    (409, False, b""),
-    "close",
-    "reset",
-    "half",
-    "garbage",
-]
-
-
-@pytest.mark.parametrize("request_class", ["look", "pay"])
-@pytest.mark.parametrize("reply", NOT_RUN_REPLIES + UNCERTAIN_REPLIES, ids=str)
-def test_calls_that_fail(reply: Any, request_class: str, tmp_path: Path) -> None:
-    """A keyed request repeats its call only after a reply that proves that the call did not run."""
-
-    async def scenario() -> None:
-        async with Rig(tmp_path) as rig:
-            balancer = await rig.balancer()
-            rig.replies = [reply]
-            answer = balancer.ask(
-                request_class, fields(**({"once": "k"} if request_class == "pay" else {}))
-            )
-            id = await rig.command("EXEC", request_class)
-            rig.executor.callout(id, b"what")
-            if request_class == "look" or reply in NOT_RUN_REPLIES:
-                assert await rig.command("RETURN") == id
-                assert rig.downstream.calls == [(id, b"what")] * 2
-                rig.executor.exit(id, result=b"well")
-                await expect_result(answer, b"well")
-            else:
-                await expect_error(answer, "Voided")
-                assert rig.downstream.calls == [(id, b"what")]
-                rig.executor.exit(id, "KILLED")
-
-    asyncio.run(scenario())
-
-
-@with_server()
-async def test_valid_replies_with_surplus_bytes(rig: Rig) -> None:
-    """Replies with surplus bytes are valid; a connection with bytes after its reply is not reused."""
-    balancer = await rig.balancer()
-    for count, reply in enumerate([*VALID_REPLIES_WITH_SURPLUS, VALID_REPLIES_WITH_SURPLUS[0]]):
-        rig.replies = [reply]
-        answer = balancer.ask("look", fields())
-        id = await rig.command("EXEC", "look")
-        rig.executor.callout(id)
-        assert await rig.command("RETURN") == id
-        assert rig.executor.bodies[id] == b"well"
-        rig.executor.exit(id, result=b"done")
-        await expect_result(answer, b"done")
-    assert rig.downstream.connection_count == len(VALID_REPLIES_WITH_SURPLUS)
-
-
-@with_server()
-async def test_a_call_that_no_run_waits_for(rig: Rig) -> None:
-    """The call is not repeated before the end of its run, which follows the reply, arrives."""
-    balancer = await rig.balancer()
-    rig.replies = [(409, True, b"")] * 9
-    answer = balancer.ask("look", fields())
-    id = await rig.command("EXEC", "look")
-    rig.executor.callout(id)
-    await wait_until(lambda: "outcome=no_longer_needed" in rig.log())
-    rig.executor.exit(id, "KILLED")
-    await expect_error(answer, "Voided")
-    assert len(rig.downstream.calls) == 1
-
-
-@with_server(n_cores=4)
-async def test_the_downstream_is_down_and_its_idle_connections_close(rig: Rig) -> None:
-    balancer = await rig.balancer()
-    # A call that must not be repeated gets a new connection: the peer may have closed an idle one.
-    for request_class, connection_count in (("look", 1), ("look", 1), ("pay", 2), ("pay", 3)):
-        answer = balancer.ask(request_class, fields(once=f"k{connection_count}"))
-        id = await rig.command("EXEC", request_class)
-        rig.executor.callout(id)
-        assert await rig.command("RETURN") == id
-        rig.executor.exit(id, result=b"paid")
-        await expect_result(answer, b"paid")
-        assert rig.downstream.connection_count == connection_count
-    address = rig.downstream.address
-    await rig.downstream.stop()
-    answer = balancer.ask("pay", fields(once="k9"))
-    id = await rig.command("EXEC", "pay")
-    rig.executor.callout(id)
-    await wait_until(lambda: "side=downstream reason=connection_refused" in rig.log())
-    rig.downstream = await Catalogue(rig.reply).start(address)
-    assert await rig.command("RETURN") == id
-    rig.executor.exit(id, result=b"paid")
-    await expect_result(answer, b"paid")
-
-
-@with_server(calls_out=1.0, n_cores=4)
-async def test_open_calls_stay_within_the_pool(rig: Rig) -> None:
-    balancer = await rig.balancer()
-    answers = [balancer.ask("look", fields()) for _ in range(4)]
-    ids = [await rig.command("EXEC", "look") for _ in answers]
-    for id in ids:
-        rig.executor.callout(id)
-    for _ in answers:
-        rig.executor.exit(await rig.command("RETURN"), result=b"well")
-    for answer in answers:
-        await expect_result(answer, b"well")
-    assert rig.downstream.max_open_calls == 1
-
-
-@with_server(deadline=1000000, aim=900000)
-async def test_a_silent_downstream_past_the_timeout(rig: Rig) -> None:
-    balancer = await rig.balancer()
-    rig.replies = ["silence"]
-    answer = balancer.ask("pay", fields(once="k", cost="1"))
-    id = await rig.command("EXEC", "pay")
-    rig.executor.callout(id)
-    await expect_error(answer, "Voided")
-    assert await within_timeout(rig.downstream.abandoned_calls.get()) == id
-    rig.executor.exit(id, "KILLED")
-
-
 @with_server()
 async def test_health_is_reported_to_the_name_service(rig: Rig) -> None:
     past_query_count = rig.executor.gauge_query_count
@@ -952,177 +805,6 @@
     assert rig.log().count("side=executor reason=malformed") == 8
 
 
-def configuration_text(**changes: Any) -> str:
-    """Returns the example configuration with other values of top-level fields."""
-    return json.dumps({**EXAMPLE_CONFIGURATION, **changes})
-
-
-# Contents of a configuration file that end the start; None stands for a missing file.
-UNUSABLE_CONFIGURATIONS = [
-    None,
-    "",
-    "[]",
-    "{}",
-    configuration_text(listen="here"),
-    configuration_text(listen="127.0.0.1:TAKEN"),
-    configuration_text(settings={}),
-    configuration_text(settings={**EXAMPLE_CONFIGURATION["settings"], "categories": []}),
-    configuration_text(seed="xyz"),
-    configuration_text(seed=7),
-    configuration_text(stop_ms="soon"),
-    configuration_text(catalog=None),
-    json.dumps(
-        {key: EXAMPLE_CONFIGURATION[key] for key in EXAMPLE_CONFIGURATION if key != "catalog"}
-    ),
-]
-
-
-def configuration_with(path: str, value: Any) -> str:
-    """Returns the example configuration with one value replaced, or removed if it is None."""
-    configuration = json.loads(json.dumps(EXAMPLE_CONFIGURATION))
-    container, *names = configuration, *path.split(".")
-    for name in names[:-1]:
-        container = container[int(name) if name.isdigit() else name]
-    container[names[-1]] = value
-    if value is None:
-        del container[names[-1]]
-    return json.dumps(configuration)
-
-
-# Path of a setting, which the error must name, and an invalid value; None removes the setting.
-INVALID_SETTINGS = [
-    ("settings.rules.warm_up", None),
-    ("settings.rules.warm_up", -1),
-    ("settings.rules.warm_up", 1e300),
-    ("settings.rules.cold_from", 1.5),
-    ("settings.rules.drain_grace", "soon"),
-    ("settings.extra.calls_out", -0.5),
-    ("settings.extra.calls_out", float("inf")),
-    ("settings.extra.calls_over", float("nan")),
-    ("settings.extra.say", "aloud"),
-    ("settings.extra.n_cores", 0),
-    ("settings.categories.0.aim", 0),
-    ("settings.categories.1.deadline", None),
-    ("settings.categories.1.idempotency", "perhaps"),
-    ("settings.categories.0.name", "pay"),
-    ("limits.sockets", 8),
-    ("limits.sockets", 100.5),
-    ("limits.memory_mb", float("inf")),
-    ("naming", "127.0.0.1:70000"),
-    ("seed", "0x"),
-]
-
-
-@pytest.mark.parametrize(
-    ("path", "value"),
-    INVALID_SETTINGS,
-    ids=[f"{path}={value}" for path, value in INVALID_SETTINGS],
-)
-def test_invalid_settings_end_the_start_with_their_place(
-    path: str, value: Any, tmp_path: Path
-) -> None:
-    place = path.replace(".0.", "[0].").replace(".1.", "[1].")
-    if path == "settings.categories.0.name":
-        place = "settings.categories"
-    assert f"{place}: " in expect_refused_start(configuration_with(path, value), tmp_path)
-
-
-def test_all_faults_of_a_configuration_are_named_at_once(tmp_path: Path) -> None:
-    configuration = json.loads(json.dumps(EXAMPLE_CONFIGURATION))
-    configuration["seed"] = "q"
-    configuration["limits"]["sockets"] = 3
-    configuration["settings"]["tenants"] = [{"portion": "all"}, 7]
-    del configuration["settings"]["rules"]
-    line = expect_refused_start(json.dumps(configuration), tmp_path)
-    for place in (
-        "seed",
-        "limits.sockets",
-        "settings.rules",
-        "settings.tenants[0].name",
-        "settings.tenants[0].portion",
-        "settings.tenants[1]",
-    ):
-        assert f" {place}: " in line, line
-    assert line.count(";") == 5
-
-
-def expect_refused_start(text: str, tmp_path: Path) -> str:
-    """Asserts that this configuration ends the start with status 2; returns the error line."""
-    path = tmp_path / "configuration.json"
-    path.write_text(text)
-    done = subprocess.run(
-        [sys.executable, "-m", "burlloom.server"],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        timeout=20,
-        env={"EDGE_CONFIG": str(path), "EDGE_LISTEN": "127.0.0.1:0", "PATH": ""},
-    )
-    assert (done.returncode, done.stdout, done.stderr.count("\n")) == (2, "", 1), done
-    return done.stderr
-
-
-@with_server()
-async def test_an_unusable_configuration_at_a_reload_changes_nothing(rig: Rig) -> None:
-    for count, (path, value) in enumerate(INVALID_SETTINGS, 1):
-        (rig.folder / "configuration.json").write_text(configuration_with(path, value))
-        rig.process.send_signal(signal.SIGHUP)
-        await wait_until(lambda: rig.log().count("event=reload_failed") == count)
-    await serve_one_request(rig, await rig.balancer())
-
-
-@with_server(warm_up=0, cold_from=0.2)
-async def test_a_warm_up_of_zero_length_is_over_at_once(rig: Rig) -> None:
-    """The server does not divide by the zero length, and serves after a cold start."""
-    rig.executor.restart()
-    await rig.kill()
-    await rig.begin()
-    await serve_one_request(rig, await rig.balancer())
-    assert "event=executor_connected cold=True" in rig.log()
-
-
-@pytest.mark.parametrize("text", UNUSABLE_CONFIGURATIONS, ids=range(len(UNUSABLE_CONFIGURATIONS)))
-def test_unusable_configurations_end_the_start(text: str | None, tmp_path: Path) -> None:
-    path = tmp_path / "configuration.json"
-    with socket.create_server(("127.0.0.1", 0)) as taken:
-        if text is not None:
-            path.write_text(text.replace("TAKEN", str(taken.getsockname()[1])))
-        done = subprocess.run(
-            [sys.executable, "-m", "burlloom.server"],
-            cwd=ROOT,
-            capture_output=True,
-            timeout=20,
-            env={"EDGE_CONFIG": str(path), "PATH": ""},
-        )
-    assert (done.returncode, done.stdout, done.stderr.count(b"\n")) == (2, b"", 1), done
-
-
-def test_a_server_without_a_downstream(tmp_path: Path) -> None:
-    """Without `catalog` in its configuration a server starts, serves and reloads.
-
-    A call of a run fails as unreachable.
-    """
-
-    async def scenario() -> None:
-        rig = Rig(tmp_path, depends_on="off")
-        del rig.configuration["catalog"]
-        async with rig:
-            balancer = await rig.balancer()
-            await serve_one_request(rig, balancer)
-            answer = balancer.ask("pay", fields(once="k"))
-            id = await rig.command("EXEC", "pay")
-            rig.reload()
-            await wait_until(lambda: "event=reloaded" in rig.log())
-            assert " downstream=none " in rig.log()
-            rig.executor.callout(id)
-            await wait_until(lambda: f"event=call_failed id={id} outcome=unreachable" in rig.log())
-            rig.executor.exit(id, "KILLED")
-            await expect_error(answer, "Voided")
-            assert not rig.downstream.calls
-
-    asyncio.run(scenario())
-
-
 @with_server(n_cores=4)
 async def test_reloads_move_to_new_addresses(rig: Rig) -> None:
     """Runs, notice numbers and a call in flight carry over to the new connections.
