Settings of the admission controller stand once for tests; unused names are gone

Cause: tests/cold_fleet.py and tests/test_scenarios.py each spelled out all settings of a server and of a request class; lab/machine.py NEVER and StoreModel.max_kept had no reader.

The values that each test uses are the same as before.

--- a/burlloom/lab/machine.py
+++ b/burlloom/lab/machine.py
@@ -10,8 +10,6 @@
 from .clock import SimulatedLoop
 from .scenario import Machines
 
-NEVER = 1e18
-
 
 class Cores:
     """Processor sharing in virtual time.
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -10,26 +10,25 @@
 import heapq
 import sys
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from random import Random
 from typing import Any
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
+from admission_settings import REQUEST_CLASS, SETTINGS  # noqa: E402
+
 from burlloom.admission import (  # noqa: E402
     NO_ORIGINAL,
     AdmissionController,
     Gauges,
-    Idempotency,
-    LoadReportKind,
     Outcome,
     Request,
-    RequestClass,
     ServerSettings,
 )
 from burlloom.admission.lifecycle import State  # noqa: E402
-from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
+from burlloom.time_units import NS_PER_MS, NS_PER_SECOND  # noqa: E402
 
 WINDOW_NS = 5 * NS_PER_SECOND
 LINGER_NS = 200 * NS_PER_MS
@@ -44,33 +43,20 @@
 
 def server_settings(call_quota: float) -> ServerSettings:
     """Returns the settings of one server with this quota of calls."""
-    request_class = RequestClass(
+    request_class = replace(
+        REQUEST_CLASS,
         latency_objective_ns=60 * NS_PER_SECOND,
-        latency_objective_stretch=0.0,
         deadline_ns=120 * NS_PER_SECOND,
-        idempotency=Idempotency.IDEMPOTENT,
-        idempotency_window_ns=0,
-        late_value_share=0.0,
-        value_share_without_call=0.0,
-        value=1.0,
     )
-    return ServerSettings(
+    return replace(
+        SETTINGS,
         cores=4,
         memory_kb=1e9,
-        running_memory_factor=4.0,
-        idempotency_key_kb=1.0,
-        max_runs_per_core=5.0,
         starts_cold=True,
-        cold_speed_share=0.2,
-        warm_up_ns=10 * NS_PER_SECOND,
         call_quota=call_quota,
         call_quota_window_ns=WINDOW_NS,
         abandoned_call_linger_ns=LINGER_NS,
-        drain_grace_ns=NS_PER_SECOND,
         max_retry_after_ns=0,
-        result_cache_ttl_ns=0,
-        idle_timeout_ns=9 * NS_PER_SECOND,
-        load_report_kind=LoadReportKind.NONE,
         request_classes=(request_class,),
     )
 
--- a/tests/simulated_distribution.py
+++ b/tests/simulated_distribution.py
@@ -44,8 +44,8 @@
 class StoreModel:
     """Model of the store: the changes of each epoch, and each revision's digests."""
 
-    def __init__(self, max_kept: int = 1 << 30) -> None:
-        self.epoch, self.max_kept = 1, max_kept
+    def __init__(self) -> None:
+        self.epoch = 1
         self.heads: dict[tuple[int, int], Head] = {(1, 0): initial_head(1, 0)}
         self.changes: dict[tuple[int, int], Change] = {}
         self.table = ConfigTable(None)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -28,6 +28,7 @@
 from typing import Any
 
 import pytest
+from admission_settings import REQUEST_CLASS, SETTINGS
 
 from burlloom.admission import (
     NO_ORIGINAL,
@@ -38,7 +39,6 @@
     Outcome,
     Request,
     RequestClass,
-    ServerSettings,
 )
 from burlloom.time_units import NS_PER_MS
 
@@ -53,35 +53,6 @@
     "forget_key",
     "reuse_result",
 }
-REQUEST_CLASS = RequestClass(
-    latency_objective_ns=2000 * NS_PER_MS,
-    latency_objective_stretch=0.0,
-    deadline_ns=6000 * NS_PER_MS,
-    idempotency=Idempotency.IDEMPOTENT,
-    idempotency_window_ns=0,
-    late_value_share=0.0,
-    value_share_without_call=0.0,
-    value=1.0,
-)
-SETTINGS = ServerSettings(
-    cores=2,
-    memory_kb=1000.0,
-    running_memory_factor=4.0,
-    idempotency_key_kb=1.0,
-    max_runs_per_core=5.0,
-    starts_cold=False,
-    cold_speed_share=0.2,
-    warm_up_ns=10_000 * NS_PER_MS,
-    call_quota=0.0,
-    call_quota_window_ns=5000 * NS_PER_MS,
-    abandoned_call_linger_ns=200 * NS_PER_MS,
-    drain_grace_ns=1000 * NS_PER_MS,
-    max_retry_after_ns=1000 * NS_PER_MS,
-    result_cache_ttl_ns=0,
-    idle_timeout_ns=9000 * NS_PER_MS,
-    load_report_kind=LoadReportKind.NONE,
-    request_classes=(REQUEST_CLASS,),
-)
 ENUM_FIELDS: dict[str, type[Enum]] = {
     "idempotency": Idempotency,
     "load_report_kind": LoadReportKind,
