Scale run: a put that a phase's end cancels halfway is noted all the same

Cause: the benchmark's own.

Change: a put that was begun runs to its end before the cancellation goes on.

Test: test_a_put_that_is_cancelled_halfway_is_in_the_events forces the order; it fails before (1 change in the store, 0 events) and passes after.

--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -20,7 +20,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -100,6 +100,19 @@
     main: tuple[str, ...] = ("-m", "burlloom.lab.hollow")  # arguments of Python for a host process
 
 
+async def finish(work: Coroutine[Any, Any, None]) -> None:
+    """Runs work to its end, also if the caller is cancelled meanwhile.
+
+    A put that ended halfway would be in the store, and its event would be missing.
+    """
+    task = asyncio.create_task(work)
+    try:
+        await asyncio.shield(task)
+    except asyncio.CancelledError:
+        await task
+        raise
+
+
 class Run:
     """A scale run: its servers, faults, events and measurements."""
 
@@ -201,8 +214,7 @@
         while True:
             at += self.random.expovariate(self.setting.rate)
             await asyncio.sleep(max(0.0, at - time.monotonic()))
-            first = self.random_entry()
-            await self.put([first])
+            await finish(self.put([self.random_entry()]))
 
     def expected_digests(self) -> dict[str, str]:
         """Returns a digest of the configuration expected in each region."""
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -10,8 +10,9 @@
 from hollow_hosts import KEY, Hosts, clock, spread
 from rig import ROOT, wait_until  # first: it has the benchmarks found
 from scale_checker import Budget, Checker, Contents, Faults, digest_of, worst_rate
-from scale_run import Setting, play_run
+from scale_run import Run, Setting, play_run
 
+from burlloom.distribution.changes import initial_head
 from burlloom.lab.distances import Cut, lay_out_servers, make_place
 from burlloom.time_units import NS_PER_SECOND
 
@@ -317,3 +318,38 @@
 def test_the_same_run_without_a_fault_passes():
     _, found = play_run(PLANT, print)
     assert found.faults.texts == []
+
+
+class SlowStore:
+    """A store that takes a change at once and answers later.
+
+    Attributes:
+        appended: The changes that it took.
+    """
+
+    def __init__(self) -> None:
+        self.appended: list[Any] = []
+
+    async def head(self) -> Any:
+        return initial_head(1, 0)
+
+    async def append(self, change: Any) -> bool:
+        self.appended.append(change)
+        await asyncio.sleep(0.05)
+        return True
+
+
+def test_a_put_that_is_cancelled_halfway_is_in_the_events(tmp_path: Path):
+    """Guards against changes "which nobody put": in the store as a phase ended, and not noted."""
+
+    async def cancel_halfway() -> tuple[int, int]:
+        run = Run(replace(SMALL, rate=1000.0), tmp_path, print)
+        store: Any = SlowStore()
+        run.store = store
+        putting = asyncio.create_task(run.put_changes())
+        await wait_until(lambda: store.appended)
+        putting.cancel()
+        await asyncio.gather(putting, return_exceptions=True)
+        return len(store.appended), len(run.events)
+
+    assert asyncio.run(cancel_halfway()) == (1, 1)
