Lab: the endpoint of a host has log_refusals, as a control node calls it

Seen: "event=internal_error side=distribution ... 'HostEndpoint' object has no attribute 'log_refusals'" each second in the output of the scale run, in a failed test and found there.

Cause: the rename of Endpoint.tell_refusals left out HostEndpoint. The rest of each control node's report, its state file, was never written in hollow fleets.

Change: the name. A test holds HostEndpoint to the methods of Endpoint; it fails before on log_refusals and passes after.

--- a/burlloom/lab/hollow_configuration.py
+++ b/burlloom/lab/hollow_configuration.py
@@ -234,7 +234,7 @@
         out.clear()
         self.on_flush()
 
-    def tell_refusals(self, now_s: int, refusals: deque[Any]) -> None:
+    def log_refusals(self, now_s: int, refusals: deque[Any]) -> None:
         """Drops refusals without logging them."""
         refusals.clear()
 
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -13,7 +13,9 @@
 from scale_run import Run, Setting, play_run
 
 from burlloom.distribution.changes import initial_head
+from burlloom.distribution.endpoint import Endpoint
 from burlloom.lab.distances import Cut, lay_out_servers, make_place
+from burlloom.lab.hollow_configuration import HostEndpoint
 from burlloom.time_units import NS_PER_SECOND
 
 TOTAL = 30_000
@@ -353,3 +355,10 @@
         return len(store.appended), len(run.events)
 
     assert asyncio.run(cancel_halfway()) == (1, 1)
+
+
+def test_the_endpoint_of_a_host_has_all_methods_of_a_control_nodes():
+    """Guards against a control node of the lab whose report fails each second on a missing name."""
+    datagram_methods = {"datagram_received", "error_received"}  # called by the event loop alone
+    wanted = {name for name in vars(Endpoint) if not name.startswith("_")} - datagram_methods
+    assert {name for name in wanted if not hasattr(HostEndpoint([]), name)} == set()
