--- a/review/common_2/world.py
+++ b/review/common_2/world.py
@@ -150,6 +150,7 @@
         self.servers: list[asyncio.Server] = []
         self.link_count = 0
         self.speed = 1.0
+        self.links: Callable[[], int] = lambda: 4
 
     async def listen(self, port: int = 0) -> str:
         """Listens on a free port; returns the address."""
@@ -180,7 +181,8 @@
                     return
                 elif name == "METER":
                     running = sum(1 for run in self.runs.values() if not run.is_ended)
-                    writer.write(b"METERS %s 0.3 %d 0.2 4\r\n" % (words[1].encode(), running))
+                    gauges = f"0.3 {running} 0.2 {self.links()}"
+                    writer.write(f"METERS {words[1]} {gauges}\r\n".encode())
                 elif name == "EXEC":
                     self.execute(words[1], words[2], body)
                 elif name == "RETURN":
@@ -264,7 +266,7 @@
             reply, run.reply = run.reply.result(), None
             seen.append(reply)
             if world.replies.get(run.call_body) != reply:
-                fault = f"{attempt.id} call {index}: got {reply!r}"
+                fault = f"{attempt.request_class} {attempt.id} call {index}: got {reply!r}"
                 world.wrong_replies.append(fault)
                 world.journal.write("WRONG REPLY", fault)
         result = b"result of " + attempt.id.encode() + b" " + b"|".join(seen)
@@ -717,5 +719,7 @@
     except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         status = 2
-    print({0: "held", 1: "broken", 2: "could not run"}[status])
-    sys.exit(status)
+    print({0: "held", 1: "broken", 2: "could not run"}[status], flush=True)
+    # Without the interpreter's own end, which would complain of streams whose loop is closed.
+    sys.stderr.flush()
+    os._exit(status)
