--- a/review/7/case.py
+++ b/review/7/case.py
@@ -28,7 +28,7 @@
 DEADLINE_MS = 6000
 LASTS_S = 96.0
 MEAN_PAUSE_S = 1.5  # between two breaks of the link
-# For each class the numbers of calls that its runs make, one drawn for each run: 2 and 1.33 on average.
+# For each class the numbers of calls, one drawn for each run: 2 and 1.33 on average.
 CALLS = {"balance-view": (1, 2, 3), "charge": (1, 1, 2)}
 OUTER_WORK_MS, INNER_WORK_MS = 8.0, 3.0  # before the first call and after the last; between calls
 
