Request messages are scanned once, in pieces of any size, with a bound on their values

Cause: frames.read_request decoded a message that is not whole anew from its first byte with each read, in Python, and only the entries of one array or map were bounded. Change: FrameScanner keeps its place between two pieces, looks at each value once, and ends the connection at 256 values, five levels or 32 KiB. What arrives whole is decoded by msgpack as before, 4 KiB at a time; both ways hold the same limits. Why it works: the cost of a message is a constant for each byte and piece, whatever the pieces. Related: a message larger than the buffer was taken for a peer that had closed; it is too_large now.

--- a/burlloom/rpc/connection.py
+++ b/burlloom/rpc/connection.py
@@ -18,12 +18,14 @@
     has_unread_bytes,
 )
 from . import frames, wire
+from .frame_scanner import MAX_HEAD_BYTES, MAX_MESSAGE_BYTES
 from .incoming_request import IncomingRequest, MalformedRequestError, RequestRules
 
 log = logging.getLogger(__name__)
 
 READ_BUFFER_BYTES = 4 << 10
-MAX_READ_BUFFER_BYTES = 2 * frames.MAX_FRAME_BYTES
+# With room for the head of the value by which a message passes its limit.
+MAX_READ_BUFFER_BYTES = MAX_MESSAGE_BYTES + MAX_HEAD_BYTES
 MAX_OPEN_REQUESTS = 32  # of one connection; a request beyond this is rejected as malformed
 MAX_FINAL_READS = 16  # reads from one connection before it is closed
 # Unsent answers of one connection beyond which it is closed. The answers to `MAX_OPEN_REQUESTS`
@@ -99,6 +101,7 @@
     def __init__(self, owner: ConnectionOwner, sock: socket.socket, peer: str) -> None:
         self.owner, self.socket, self.peer = owner, sock, peer
         self.buffer = ReceiveBuffer(READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES)
+        self.request_reader = frames.RequestReader()
         self.socket_reader = SocketReader(sock)
         self.writer = SocketWriter(sock, owner.supervisor, self.on_write_error)
         self.open_requests: dict[int, IncomingRequest] = {}
@@ -163,13 +166,12 @@
         """Handles the messages that `size` newly received bytes in the buffer complete."""
         buffer, now_ns = self.buffer, self.owner.clock()
         buffer.end += size
-        try:
-            while buffer.start < buffer.end and not self.is_ended:
-                buffer.start, message = frames.read_request(buffer.view, buffer.start, buffer.end)
-                self.last_used_ns, self.has_received, self.partial_since_ns = now_ns, True, 0
-                self.handle_message(now_ns, message)
-        except frames.IncompleteFrameError:
-            self.partial_since_ns = self.partial_since_ns or now_ns
+        while buffer.start < buffer.end and not self.is_ended:
+            if (message := self.request_reader.read(buffer)) is None:
+                self.partial_since_ns = self.partial_since_ns or now_ns
+                return
+            self.last_used_ns, self.has_received, self.partial_since_ns = now_ns, True, 0
+            self.handle_message(now_ns, message)
 
     def read_remaining(self) -> None:
         """Handles the bytes that are still unread before a close, so that they are answered.
--- a/burlloom/rpc/frames.py
+++ b/burlloom/rpc/frames.py
@@ -1,79 +1,29 @@
-"""Decodes MessagePack-RPC requests, and encodes answers and notifications.
-
-The msgpack library decodes complete, valid messages. A message that it cannot decode is decoded
-here value by value, which distinguishes an incomplete message from a malformed one and finds the
-fault.
-"""
+"""Reads MessagePack-RPC requests, and encodes answers and notifications."""
 
 import struct
 from typing import Any, NamedTuple
 
 import msgpack
 
-from ..errors import BurlloomError
-from ..sockets import CloseReason, ConnectionEndedError
-
-MAX_FRAME_BYTES = 16 << 10  # a body has at most 2 KiB and its fields have a few hundred bytes
-MAX_DEPTH = 4  # of nested arrays and maps
-MAX_ITEMS = 64  # of one array or map
-UNPACK_LIMITS = {
-    "max_str_len": 256,
-    "max_bin_len": 4 << 10,
-    "max_array_len": MAX_ITEMS,
-    "max_map_len": MAX_ITEMS,
-    "max_ext_len": 0,
+from ..sockets import CloseReason, ConnectionEndedError, ReceiveBuffer
+from .frame_scanner import MAX_ITEMS, MAX_VALUE_BYTES, FrameScanner
+
+# A longer message is scanned before it is decoded, so that decoding a short one beside many others
+# does not copy all of them.
+MAX_DIRECT_BYTES = 4 << 10
+CONTAINER_LIMITS = {"max_array_len": MAX_ITEMS, "max_map_len": MAX_ITEMS, "max_ext_len": 0}
+DIRECT_LIMITS = {"max_str_len": 256, "max_bin_len": MAX_DIRECT_BYTES, **CONTAINER_LIMITS}
+SCANNED_LIMITS = {
+    "max_str_len": MAX_VALUE_BYTES,
+    "max_bin_len": MAX_VALUE_BYTES,
+    **CONTAINER_LIMITS,
 }
 
 REQUEST_TYPE = 0
 RESPONSE_TYPE = 1
 NOTIFICATION_TYPE = 2
 REQUEST_PARTS = [int, int, str, list]  # message type, message id, method, parameters
-
-# The struct format of each fixed-width number, by the value's first byte.
-NUMBER_FORMATS = {
-    0xCA: ">f",
-    0xCB: ">d",
-    0xCC: ">B",
-    0xCD: ">H",
-    0xCE: ">I",
-    0xCF: ">Q",
-    0xD0: ">b",
-    0xD1: ">h",
-    0xD2: ">i",
-    0xD3: ">q",
-}
-# The struct format of the length, and the kind, of each value that has a length, by its first byte.
-SIZED_FORMATS = {
-    0xC4: (">B", "bin"),
-    0xC5: (">H", "bin"),
-    0xC6: (">I", "bin"),
-    0xD9: (">B", "str"),
-    0xDA: (">H", "str"),
-    0xDB: (">I", "str"),
-    0xDC: (">H", "array"),
-    0xDD: (">I", "array"),
-    0xDE: (">H", "map"),
-    0xDF: (">I", "map"),
-}
-CONSTANTS = {0xC0: None, 0xC2: False, 0xC3: True}
-# Bounds of the ranges of first bytes that contain the value or the length itself.
-END_OF_SMALL_INTEGERS = 0x80
-END_OF_SMALL_MAPS = 0x90
-START_OF_SMALL_STRINGS = 0xA0
-END_OF_SMALL_STRINGS = 0xC0
-START_OF_NEGATIVE_INTEGERS = 0xE0
-
-
-class IncompleteFrameError(BurlloomError):
-    """A message is not completely received.
-
-    Attributes:
-        end: Offset past the last received byte.
-    """
-
-    def __init__(self, end: int) -> None:
-        super().__init__(f"message continues past byte {end}, the end of the received data")
-        self.end = end
+MAX_FLAT_PARAMETERS = 2  # a map of fields and a body
 
 
 class RequestMessage(NamedTuple):
@@ -90,126 +40,102 @@
     parameters: list[Any]
 
 
-class FrameReader:
-    """Decodes MessagePack values one after the other.
+class RequestReader:
+    """Reads the requests of one connection, whose bytes arrive in pieces of any size.
+
+    A message that is whole when its first bytes are read is decoded at once. Any other one is
+    scanned until it is whole, each value once, and then decoded. The limits of `FrameScanner` hold
+    for both: a message that is decoded at once and has any other form than that of a request is
+    scanned too.
 
     Attributes:
-        view: The buffer to read from.
-        position: Offset of the next value.
-        end: Offset past the last received byte.
+        scanner: Scans the incomplete message at the start of the buffer; None if none is begun.
     """
 
-    def __init__(self, view: memoryview, position: int, end: int) -> None:
-        self.view, self.position, self.end = view, position, end
-
-    def read_bytes(self, size: int) -> memoryview:
-        """Reads `size` bytes.
+    def __init__(self) -> None:
+        self.scanner: FrameScanner | None = None
 
-        Raises:
-            ConnectionEndedError: `size` is over `MAX_FRAME_BYTES`.
-            IncompleteFrameError: Some of the bytes are not received yet.
-        """
-        if size > MAX_FRAME_BYTES:
-            raise ConnectionEndedError(CloseReason.TOO_LARGE, f"value of {size} bytes")
-        start, self.position = self.position, self.position + size
-        if self.position > self.end:
-            raise IncompleteFrameError(self.end)
-        return self.view[start : self.position]
+    def read(self, buffer: ReceiveBuffer) -> RequestMessage | None:
+        """Removes the next request from the buffer.
 
-    def read_number(self, struct_format: str) -> Any:
-        """Reads a number in a format of the struct module."""
-        return struct.unpack(struct_format, self.read_bytes(struct.calcsize(struct_format)))[0]
-
-    def read_text(self, size: int) -> str:
-        """Reads a string of `size` bytes.
+        Returns:
+            The request; None while it is incomplete.
 
         Raises:
-            ConnectionEndedError: The string is not UTF-8 or too large.
-            IncompleteFrameError: Some of its bytes are not received yet.
+            ConnectionEndedError: The bytes are not a request message.
         """
-        try:
-            return str(self.read_bytes(size), "utf-8")
-        except UnicodeDecodeError as error:
-            raise ConnectionEndedError(CloseReason.MALFORMED, "string is not UTF-8") from error
-
-    def read_value(self, depth: int = 0) -> Any:
-        """Reads one value.
-
-        Raises:
-            ConnectionEndedError: The value is malformed, too large or nested too deep.
-            IncompleteFrameError: Some of its bytes are not received yet.
-        """
-        if self.position >= self.end:
-            raise IncompleteFrameError(self.end)
-        first = self.view[self.position]
-        self.position += 1
-        if START_OF_SMALL_STRINGS <= first < END_OF_SMALL_STRINGS:
-            return self.read_text(first & 0x1F)
-        if first < END_OF_SMALL_INTEGERS:
-            return first
-        if first >= START_OF_NEGATIVE_INTEGERS:
-            return first - 0x100
-        if first < END_OF_SMALL_STRINGS:
-            kind = "map" if first < END_OF_SMALL_MAPS else "array"
-            return self.read_container(kind, first & 0x0F, depth)
-        if first in SIZED_FORMATS:
-            length_format, kind = SIZED_FORMATS[first]
-            return self.read_sized(kind, self.read_number(length_format), depth)
-        if first in NUMBER_FORMATS:
-            return self.read_number(NUMBER_FORMATS[first])
-        if first in CONSTANTS:
-            return CONSTANTS[first]
-        raise ConnectionEndedError(
-            CloseReason.MALFORMED, f"unsupported value with first byte {first:#x}"
-        )
-
-    def read_sized(self, kind: str, size: int, depth: int) -> Any:
-        """Reads the content of a binary, string, array or map of length `size`."""
-        if kind == "bin":
-            return self.read_bytes(size)
-        if kind == "str":
-            return self.read_text(size)
-        return self.read_container(kind, size, depth)
-
-    def read_container(self, kind: str, size: int, depth: int) -> Any:
-        """Reads the `size` items of an array or a map.
-
-        Raises:
-            ConnectionEndedError: It has too many items, is nested too deep, or a key of the map is
-                not a string.
-            IncompleteFrameError: Some of its bytes are not received yet.
-        """
-        if size > MAX_ITEMS or depth >= MAX_DEPTH:
-            raise ConnectionEndedError(
-                CloseReason.TOO_LARGE, f"{kind} of {size} items at depth {depth}"
-            )
-        if kind == "array":
-            return [self.read_value(depth + 1) for _ in range(size)]
-        pairs = [(self.read_value(depth + 1), self.read_value(depth + 1)) for _ in range(size)]
-        for key, _ in pairs:
-            if type(key) is not str:
-                raise ConnectionEndedError(CloseReason.WRONG_TYPE, "map key is not a string")
-        return dict(pairs)
-
-
-def read_request(view: memoryview, start: int, end: int) -> tuple[int, RequestMessage]:
-    """Reads the request message that begins at `start`.
+        if self.scanner is None:
+            request = read_direct(buffer)
+            if request is not None:
+                return request
+            self.scanner = FrameScanner()
+        received = buffer.view[buffer.start : buffer.end]
+        if not self.scanner.scan(received):
+            return None
+        size, self.scanner = self.scanner.position, None
+        request = check_request(decode_scanned(received[:size]))
+        buffer.start += size
+        return request
+
+
+def read_direct(buffer: ReceiveBuffer) -> RequestMessage | None:
+    """Removes the next request from the buffer if it is whole, short and of the usual form.
 
     Returns:
-        The offset of the next message, and the request.
+        The request; None if it has to be scanned.
 
     Raises:
-        ConnectionEndedError: The bytes are not a request message.
-        IncompleteFrameError: The message is not completely received.
+        ConnectionEndedError: The message is whole and no request message.
     """
+    received = buffer.view[buffer.start : min(buffer.end, buffer.start + MAX_DIRECT_BYTES)]
+    size = len(received)
     try:
-        frame, next_start = msgpack.unpackb(view[start:end], **UNPACK_LIMITS), end
+        frame = msgpack.unpackb(received, **DIRECT_LIMITS)
     except msgpack.ExtraData as error:
-        frame, next_start = error.unpacked, end - len(error.extra)
+        frame, size = error.unpacked, size - len(error.extra)
     except ValueError:
-        # Incomplete or malformed: reading value by value raises the error that applies.
-        reader = FrameReader(view, start, end)
-        frame, next_start = reader.read_value(), reader.position
+        return None
+    request = check_request(frame)
+    if not is_flat(request.parameters):
+        return None
+    buffer.start += size
+    return request
+
+
+def is_flat(parameters: list[Any]) -> bool:
+    """Returns whether the parameters are at most a map of strings and one more plain value."""
+    if len(parameters) > MAX_FLAT_PARAMETERS:
+        return False
+    for parameter in parameters:
+        if type(parameter) is dict:
+            for value in parameter.values():
+                if type(value) is not str:
+                    return False
+        elif type(parameter) is list:
+            return False
+    return True
+
+
+def decode_scanned(message: memoryview) -> Any:
+    """Decodes a message that was scanned.
+
+    Raises:
+        ConnectionEndedError: A string is not UTF-8, or a key of a map is not a string.
+    """
+    try:
+        return msgpack.unpackb(message, **SCANNED_LIMITS)
+    except UnicodeDecodeError as error:
+        raise ConnectionEndedError(CloseReason.MALFORMED, "string is not UTF-8") from error
+    except ValueError as error:
+        raise ConnectionEndedError(CloseReason.WRONG_TYPE, str(error)) from error
+
+
+def check_request(frame: Any) -> RequestMessage:
+    """Returns the request in a decoded message.
+
+    Raises:
+        ConnectionEndedError: The message is not a request message.
+    """
     if not isinstance(frame, list) or len(frame) != len(REQUEST_PARTS):
         raise ConnectionEndedError(CloseReason.MALFORMED, "message is not an array of four parts")
     message_type, message_id, method, parameters = frame
@@ -221,7 +147,7 @@
         raise ConnectionEndedError(
             CloseReason.MALFORMED, f"message of type {message_type} with id {message_id}"
         )
-    return next_start, RequestMessage(message_id, method, parameters)
+    return RequestMessage(message_id, method, parameters)
 
 
 def encode_result(message_id: int, body: bytes, fields: dict[str, str]) -> tuple[bytes, ...]:
