The reply to a call is written to the executor once; an uncertain one fails its request

Cause: an unconfirmed RETURN was sent again on the next connection, although nothing tells whether it had arrived; its run may be at its next call by then. Change: UnconfirmedCommands keeps how far each command has come. What was written to a lost connection is sent again only if it may be carried out twice; a RETURN may not. Its request fails a quarter of a second after the replay, if no notice shows that it had arrived. A change of the executor's address first has the old connection confirm what was written to it. Why it works: a run takes at most one copy of each reply, so that none is left for its next call.

--- a/burlloom/dispatcher/dispatcher.py
+++ b/burlloom/dispatcher/dispatcher.py
@@ -170,7 +170,18 @@
     def cancel_request(self, request_id: str) -> None:
         """Drops an attempt whose caller no longer waits; a started run continues."""
         ref = self.refs_by_id.get(request_id, -1)
-        if ref >= 0 and not self.slots[ref].is_started and not self.slots[ref].is_answered:
+        if ref >= 0 and not self.slots[ref].is_started:
+            self.abandon(ref)
+
+    def fail_request(self, request_id: str) -> None:
+        """Answers an attempt with an error; a started run continues until its end is reported."""
+        ref = self.refs_by_id.get(request_id, -1)
+        if ref >= 0:
+            self.abandon(ref)
+
+    def abandon(self, ref: int) -> None:
+        """Answers a request with an error if it has no answer yet."""
+        if not self.slots[ref].is_answered:
             self.issue(ref, Directive(DirectiveKind.FAIL))
             self.controller.caller_gone(self.clock(), ref)
             self.schedule_delivery()
--- a/burlloom/executor/connection.py
+++ b/burlloom/executor/connection.py
@@ -1,7 +1,7 @@
 """Maintains a connection to the executor, over which requests are run.
 
-When a connection is lost, its unconfirmed commands are sent again on the next one. Confirmed
-commands are not, as a run must not be repeated.
+When a connection is lost, the executor may have received its unconfirmed commands or not. On the
+next connection those are sent again that may be carried out twice; the requests of the others fail.
 """
 
 import asyncio
@@ -22,6 +22,7 @@
 )
 from ..time_units import NS_PER_SECOND
 from . import wire
+from .unconfirmed_commands import SEND_CALL_RESULT, START_RUN, CommandKey, UnconfirmedCommands
 from .wire import Command, NoticeKind, RunStatus
 
 log = logging.getLogger(__name__)
@@ -36,13 +37,14 @@
 # Gauge queries in a row that may stay without an answer; one more closes the connection.
 MAX_UNANSWERED_POLLS = 30
 CONFIRM_DELAY_NS = NS_PER_SECOND // 40  # from a command to the gauge query that confirms it
+# For how long, from the end of a replay, a notice may show that an uncertain command was received.
+UNCERTAIN_TIMEOUT_NS = NS_PER_SECOND // 4
+HANDOVER_TIMEOUT_NS = NS_PER_SECOND // 10  # for the confirmations on a connection to an old address
 
 # Module-level names, as each is used for every request, and on Python 3.11 an access through the
 # enum takes seven times as long as a comparison of strings.
 RUN_ENDED = NoticeKind.RUN_ENDED
 CALL_REQUESTED = NoticeKind.CALL_REQUESTED
-START_RUN = Command.START_RUN
-SEND_CALL_RESULT = Command.SEND_CALL_RESULT
 
 Gauges = list[float]
 
@@ -50,16 +52,14 @@
 class ExecutorConnection:
     """Sends commands to the executor, and hands its notices on.
 
-    A command is confirmed by a notice about its request, or by the answer to a gauge query that was
-    sent after it. Until then it may be lost with the connection, and is sent again on the next one.
-    A confirmed command must not be sent again: its run may have ended, and would run again.
+    The result of a call is written at most once: sent again, it could reach a run that has gone on
+    to its next call. A confirmed command is never sent again either: its run may have ended, and
+    would run again.
 
     Attributes:
         last_notice: The number of the last handled notice; on a new connection the executor sends
             the later ones again.
-        unconfirmed_commands: For each command name and request id, the command's position in the
-            order of all commands, and its bytes.
-        command_count: How many commands were sent or queued so far.
+        unconfirmed: The commands that the executor may not have received.
         pending_polls: For each tag, the future of the gauges, and how many commands were sent
             before the query.
         is_joined: Whether this connection's replay of notices is over, and commands may be sent.
@@ -69,6 +69,8 @@
         barrier_tag: Tag of the gauge query whose answer ends the replay; empty if none is pending.
         unanswered_polls: Calls of `query_gauges` in a row without an answer in time.
         connect_timeout_ns: Timeout of the next attempt to connect.
+        confirm_timer: Sends the query that confirms the last commands; None if none is due.
+        uncertain_timer: Gives up what is uncertain; None if the replay is not over.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         on_welcome: Callable[[bool, int], None],
         on_run_ended: Callable[[str, RunStatus, int, bytes], None],
         on_call_requested: Callable[[str, bytes], None],
+        on_call_result_uncertain: Callable[[str], None],
         free_descriptor: Callable[[], bool] = lambda: False,
     ) -> None:
         """Prepares the connection; `maintain` establishes it.
@@ -91,45 +94,48 @@
                 result.
             on_call_requested: Called with the id of the request whose run requests a call, and the
                 call's body.
+            on_call_result_uncertain: Called with the id of a request whose run may never receive
+                the result of its call.
             free_descriptor: Called where no descriptor is left for a new connection; returns
                 whether it freed one.
         """
         self.address, self.supervisor = address, supervisor
         self.on_welcome, self.on_run_ended = on_welcome, on_run_ended
         self.on_call_requested, self.free_descriptor = on_call_requested, free_descriptor
+        self.on_call_result_uncertain = on_call_result_uncertain
         self.last_notice = 0
-        self.unconfirmed_commands: dict[tuple[str, str], tuple[int, bytes]] = {}
-        self.command_count = 0
+        self.unconfirmed = UnconfirmedCommands()
         self.pending_polls: dict[str, tuple[asyncio.Future[Gauges | None], int]] = {}
         self.last_tag = 0
         self.writer: SocketWriter | None = None
         self.is_joined = self.is_replaying = self.has_served = False
         self.barrier_tag, self.unanswered_polls = "", 0
         self.confirm_timer: asyncio.TimerHandle | None = None
+        self.uncertain_timer: asyncio.TimerHandle | None = None
         self.connection_task: asyncio.Task[tuple[CloseReason, str]] | None = None
         self.connect_timeout_ns = CONNECT_TIMEOUT_NS
 
     def start_run(self, request_id: str, request_class: str, body: bytes) -> None:
         """Sends the command that runs a request."""
         command = wire.encode_start_run(request_id, request_class, body)
-        self.send_command(START_RUN, request_id, command)
+        self.send_command(START_RUN, request_id, command, is_repeatable=True)
 
     def send_call_result(self, request_id: str, result: bytes) -> None:
         """Sends a run the result of the call that it requested."""
         command = wire.encode_call_result(request_id, result)
-        self.send_command(SEND_CALL_RESULT, request_id, command)
+        self.send_command(SEND_CALL_RESULT, request_id, command, is_repeatable=False)
 
-    def send_command(self, name: Command, request_id: str, command: bytes) -> None:
+    def send_command(
+        self, name: Command, request_id: str, command: bytes, is_repeatable: bool
+    ) -> None:
         """Sends a command, at once or when the connection is joined."""
-        self.command_count += 1
-        self.unconfirmed_commands.pop((name, request_id), None)
-        self.unconfirmed_commands[name, request_id] = self.command_count, command
+        key, is_written = CommandKey(name, request_id), self.is_joined and self.writer is not None
+        self.unconfirmed.add(key, command, is_repeatable, is_written)
         if self.is_joined and self.writer is not None:
             self.writer.send(command)
             if self.confirm_timer is None:
-                # More often than the regular polls. A command that had arrived and is sent again
-                # reaches a run that has ended or waits for its next call, so as few as possible
-                # should be unconfirmed.
+                # More often than the regular polls: a command that is unconfirmed when the
+                # connection is lost may cost its request, so that few should be.
                 self.confirm_timer = asyncio.get_running_loop().call_later(
                     CONFIRM_DELAY_NS / NS_PER_SECOND, self.confirm_commands
                 )
@@ -137,7 +143,7 @@
     def confirm_commands(self) -> None:
         """Sends a gauge query, whose answer confirms the commands sent so far."""
         self.confirm_timer = None
-        if self.is_joined and self.unconfirmed_commands:
+        if self.is_joined and len(self.unconfirmed):
             self.poll_gauges()
 
     async def query_gauges(self, timeout_ns: int) -> Gauges | None:
@@ -165,17 +171,28 @@
         self.last_tag += 1
         tag = f"m{self.last_tag}"
         poll: asyncio.Future[Gauges | None] = asyncio.get_running_loop().create_future()
-        self.pending_polls[tag] = poll, self.command_count if self.is_joined else 0
+        self.pending_polls[tag] = poll, self.unconfirmed.count if self.is_joined else 0
         assert self.writer is not None
         self.writer.send(wire.encode_gauge_query(tag))
         return poll
 
     def change_address(self, address: tuple[str, int]) -> None:
-        """Connects to another address; unconfirmed commands are sent again there."""
+        """Connects to another address, once the commands on this connection are confirmed."""
         if address != self.address:
             self.address = address
             if self.connection_task is not None:
-                self.connection_task.cancel()
+                self.supervisor.start(self.hand_over(self.connection_task), "executor_handover")
+
+    async def hand_over(self, connection_task: "asyncio.Task[tuple[CloseReason, str]]") -> None:
+        """Ends a connection after its commands are confirmed, or after `HANDOVER_TIMEOUT_NS`.
+
+        Further commands wait for the next connection.
+        """
+        if self.is_joined:
+            poll = self.poll_gauges()
+            self.is_joined = False
+            await asyncio.wait({poll}, timeout=HANDOVER_TIMEOUT_NS / NS_PER_SECOND)
+        connection_task.cancel()
 
     async def maintain(self) -> None:
         """Connects to the executor, reconnects when the connection is lost, and never returns."""
@@ -197,7 +214,7 @@
                     "unconfirmed_commands=%d detail=%r",
                     reason.value,
                     self.last_notice,
-                    len(self.unconfirmed_commands),
+                    len(self.unconfirmed),
                     detail,
                 )
             previous = reason
@@ -244,6 +261,10 @@
         if self.writer is not None:
             self.writer.abort()
         self.writer = None
+        self.unconfirmed.connection_lost()
+        if self.uncertain_timer is not None:
+            self.uncertain_timer.cancel()
+            self.uncertain_timer = None
         self.is_joined, self.barrier_tag = False, ""
         for poll, _ in self.pending_polls.values():
             if not poll.done():
@@ -283,7 +304,7 @@
                 self.handle_run_ended(fields, body)
         elif kind is CALL_REQUESTED:
             if self.is_new_notice(fields[0]):
-                self.confirm_request(fields[1])
+                self.unconfirmed.confirm_request(fields[1])
                 # A copy, as the call may be made later or repeated.
                 self.on_call_requested(fields[1], bytes(body))
         elif kind is NoticeKind.GAUGES:
@@ -312,7 +333,7 @@
     def handle_run_ended(self, fields: list[str], body: memoryview) -> None:
         """Confirms the run's commands and reports its end."""
         _, request_id, status, duration_ms, _ = fields
-        self.confirm_request(request_id)
+        self.unconfirmed.confirm_request(request_id)
         self.on_run_ended(
             request_id,
             wire.parse_run_status(status),
@@ -320,11 +341,6 @@
             bytes(body),
         )
 
-    def confirm_request(self, request_id: str) -> None:
-        """Confirms the commands about a request that a notice named."""
-        self.unconfirmed_commands.pop((START_RUN, request_id), None)
-        self.unconfirmed_commands.pop((SEND_CALL_RESULT, request_id), None)
-
     def is_new_notice(self, number_field: str) -> bool:
         """Records a notice's number; returns whether the notice was not handled before.
 
@@ -338,10 +354,10 @@
         if number > self.last_notice + 1:
             # While there was no connection, the executor dropped notices beyond the number that it
             # keeps. The ends of some runs will never be received, and these runs may have
-            # unconfirmed commands. Those are not sent again: the request fails at its deadline and
-            # is never run twice.
+            # unconfirmed commands. None is sent, sent before or not: the request fails at its
+            # deadline and is never run twice.
             log.error("event=notices_lost first=%d last=%d", self.last_notice + 1, number - 1)
-            self.unconfirmed_commands.clear()
+            self.unconfirmed.clear()
         self.is_replaying = False
         is_new = number > self.last_notice
         self.last_notice = max(self.last_notice, number)
@@ -350,22 +366,31 @@
     def handle_gauges(self, tag: str, values: Gauges) -> None:
         """Completes the poll with this tag, and confirms the commands sent before it."""
         poll, confirmed_count = self.pending_polls.pop(tag, (None, 0))
-        confirmed = [
-            key
-            for key, (position, _) in self.unconfirmed_commands.items()
-            if position <= confirmed_count
-        ]
-        for key in confirmed:
-            del self.unconfirmed_commands[key]
-        if tag == self.barrier_tag and self.writer is not None:
-            self.barrier_tag, self.is_joined, self.has_served = "", True, True
-            self.writer.send(*(command for _, command in self.unconfirmed_commands.values()))
+        self.unconfirmed.confirm_until(confirmed_count)
+        if tag == self.barrier_tag:
+            self.finish_join()
         if poll is not None and not poll.done():
             poll.set_result(values)
 
+    def finish_join(self) -> None:
+        """Sends what waits for this connection, at the end of the replay."""
+        assert self.writer is not None
+        self.barrier_tag, self.is_joined, self.has_served = "", True, True
+        self.writer.send(*self.unconfirmed.take_sendable())
+        self.uncertain_timer = asyncio.get_running_loop().call_later(
+            UNCERTAIN_TIMEOUT_NS / NS_PER_SECOND, self.give_up_uncertain
+        )
+
+    def give_up_uncertain(self) -> None:
+        """Reports the commands that no notice has confirmed since the replay."""
+        self.uncertain_timer = None
+        for name, request_id in self.unconfirmed.take_uncertain():
+            log.warning("event=command_uncertain command=%s id=%s", name, request_id)
+            self.on_call_result_uncertain(request_id)
+
     def handle_rejection(self, fields: list[str]) -> None:
         """Ends the run of a request whose command the executor rejected."""
         log.info("event=command_rejected command=%s id=%s", fields[0], " ".join(fields[1:]))
         if len(fields) > 1 and fields[0] == START_RUN:
-            self.unconfirmed_commands.pop((START_RUN, fields[1]), None)
+            self.unconfirmed.confirm_start(fields[1])
             self.on_run_ended(fields[1], RunStatus.REJECTED, 0, b"")
--- a/burlloom/server/request_handler.py
+++ b/burlloom/server/request_handler.py
@@ -297,6 +297,11 @@
             event = RunEnded(request_id, RUN_OUTCOMES[status], duration_ns, result)
             self.dispatcher.handle_event(event)
 
+    def call_result_uncertain(self, request_id: str) -> None:
+        """Fails a request whose run may have received the result of its call or not."""
+        if self.dispatcher is not None:
+            self.dispatcher.fail_request(request_id)
+
     def run_reached_call(self, request_id: str, body: bytes) -> None:
         """Reports to the dispatcher that a run waits for a downstream call with this body."""
         if self.dispatcher is not None:
--- a/burlloom/server/server.py
+++ b/burlloom/server/server.py
@@ -117,6 +117,7 @@
             self.executor_connected,
             self.requests.run_ended,
             self.requests.run_reached_call,
+            self.requests.call_result_uncertain,
             self.listener.free_descriptor,
         )
         pool = ConnectionPool(config.downstream_address, self.listener.free_descriptor)
