Callers' connections hold 8 KiB at most, and free it as they end

Cause: a receive buffer grew to 32 KiB and stayed so; an ended connection and its buffer waited for the garbage collector, in a cycle with its writer. Evidence: with the collector off, no ended connection was freed. Change: a message has at most 8 KiB (a body 2 KiB), the buffer shrinks back when it is empty, and an ended connection frees its buffer and the writer's handler. What was answered BadRequest with a value of 4 to 16 KiB now ends its connection as too_large. Tests: test_an_ended_connection_leaves_no_memory_behind and test_half_of_a_large_request_takes_little_memory, both failed before.

--- a/burlloom/rpc/connection.py
+++ b/burlloom/rpc/connection.py
@@ -208,6 +208,8 @@
         else:
             self.owner.start_close(ConnectionClose(self.socket, self.writer))
         self.open_requests.clear()
+        self.buffer.release()
+        self.writer.ignore_errors()
         for request in lost_requests:
             self.owner.on_request_lost(request)
         self.log_close(reason, len(lost_requests))
--- a/burlloom/rpc/frame_scanner.py
+++ b/burlloom/rpc/frame_scanner.py
@@ -9,9 +9,9 @@
 
 from ..sockets import CloseReason, ConnectionEndedError
 
-MAX_MESSAGE_BYTES = 32 << 10
+MAX_MESSAGE_BYTES = 8 << 10  # a body has at most 2 KiB, and its fields a few hundred bytes
 MAX_HEAD_BYTES = 5  # the first byte and the length of a value
-MAX_VALUE_BYTES = 16 << 10  # of one string or binary; a body has at most 2 KiB
+MAX_VALUE_BYTES = 4 << 10  # of one string or binary
 MAX_DEPTH = 4  # of nested arrays and maps
 MAX_ITEMS = 64  # entries of one array or map
 MAX_VALUES = 256  # of one message, at any depth; twice what `MAX_ITEMS` fields need
--- a/burlloom/rpc/frames.py
+++ b/burlloom/rpc/frames.py
@@ -12,7 +12,7 @@
 # does not copy all of them.
 MAX_DIRECT_BYTES = 4 << 10
 CONTAINER_LIMITS = {"max_array_len": MAX_ITEMS, "max_map_len": MAX_ITEMS, "max_ext_len": 0}
-DIRECT_LIMITS = {"max_str_len": 256, "max_bin_len": MAX_DIRECT_BYTES, **CONTAINER_LIMITS}
+DIRECT_LIMITS = {"max_str_len": 256, "max_bin_len": MAX_VALUE_BYTES, **CONTAINER_LIMITS}
 SCANNED_LIMITS = {
     "max_str_len": MAX_VALUE_BYTES,
     "max_bin_len": MAX_VALUE_BYTES,
--- a/burlloom/sockets/receive_buffer.py
+++ b/burlloom/sockets/receive_buffer.py
@@ -10,11 +10,12 @@
         view: The whole buffer. Slices of it are valid until the next `free_space()`.
         start: Offset of the first byte that is not parsed.
         end: Offset past the last received byte.
+        initial_bytes: How large the buffer is while no message needs more.
         max_bytes: How large the buffer may grow for one incomplete message.
     """
 
     def __init__(self, initial_bytes: int, max_bytes: int) -> None:
-        self.max_bytes = max_bytes
+        self.initial_bytes, self.max_bytes = initial_bytes, max_bytes
         self.view = memoryview(bytearray(initial_bytes))
         self.start = self.end = 0
 
@@ -25,6 +26,8 @@
         """
         if self.start == self.end:
             self.start = self.end = 0
+            if len(self.view) > self.initial_bytes:
+                self.view = memoryview(bytearray(self.initial_bytes))
         elif self.end == len(self.view):
             unparsed_bytes = self.end - self.start
             size = len(self.view) if self.start else min(self.max_bytes, 2 * len(self.view))
@@ -32,3 +35,8 @@
             new_view[:unparsed_bytes] = self.view[self.start : self.end]
             self.view, self.start, self.end = new_view, 0, unparsed_bytes
         return self.view[self.end :]
+
+    def release(self) -> None:
+        """Frees the memory of a buffer that is no longer received into."""
+        self.view = memoryview(bytearray())
+        self.start = self.end = 0
--- a/burlloom/sockets/socket_writer.py
+++ b/burlloom/sockets/socket_writer.py
@@ -7,6 +7,10 @@
 from .task_supervisor import TaskSupervisor
 
 
+def do_nothing() -> None:
+    """Handles an error that nobody has to be told of."""
+
+
 class SocketWriter:
     """Sends messages whole and in order, at the peer's pace, without blocking the sender.
 
@@ -85,6 +89,13 @@
         while self.write_task is not None:
             await asyncio.wait({self.write_task})
 
+    def ignore_errors(self) -> None:
+        """Drops the handler of errors, which refers to the owner of this writer.
+
+        The memory of the owner would otherwise be held until the next garbage collection.
+        """
+        self.on_error = do_nothing
+
     def abort(self) -> None:
         """Drops the queued bytes and stops sending."""
         self.is_ended = True
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -4,12 +4,14 @@
 """
 
 import asyncio
+import gc
 import os
 import signal
 import socket
 import struct
 import sys
 import time
+import weakref
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -713,3 +715,51 @@
         late = balancer.ask("look", fields(key=key, at=str(ended + 401 + 10 * count)))
         rig.executor.exit(await rig.command("EXEC", "look"), result=b"second")
         await expect_result(late, b"second")
+
+
+@on_loop
+async def test_an_ended_connection_leaves_no_memory_behind() -> None:
+    """Guards against picture (a) of issue 59: what slow clients left waited for a collection."""
+    harness = ListenerHarness()
+    gc.collect()
+    gc.disable()
+    try:
+        clients = [await harness.client() for _ in range(3)]
+        connections = [weakref.ref(client.connection) for client in clients]
+        buffers = [weakref.ref(client.connection.buffer) for client in clients]
+        for client in clients:
+            client.sock.sendall(look_request(1, harness.now)[:-1])
+        await wait_until(lambda: all(client.connection.partial_since_ns for client in clients))
+        clients[0].sock.close()
+        await wait_until(lambda: len(harness.rpc_listener.connections) == 2)
+        harness.now += 2 * NS_PER_SECOND
+        harness.rpc_listener.sweep()
+        harness.rpc_listener.sweep()  # the first sweep may take the clock step for a pause
+        assert not harness.rpc_listener.connections
+        for client in clients:
+            client.sock.close()
+        clients.clear()
+        del client
+        await wait_until(lambda: not harness.rpc_listener.closing)
+        await run_loop_turns()
+        assert [reference() for reference in [*connections, *buffers]] == [None] * 6
+    finally:
+        gc.enable()
+
+
+@on_loop
+async def test_half_of_a_large_request_takes_little_memory() -> None:
+    """Guards against picture (a) of issue 59: hundreds of clients stop half way through a request."""
+    harness = ListenerHarness()
+    client = await harness.client()
+    client.sock.sendall(request(1, "look", fields(), b"x" * 4000, b"x" * 4000, b"x" * 4000))
+    await wait_until(lambda: client.connection.is_ended)
+    client = await harness.client()
+    client.sock.sendall(request(1, "health", {}, b"x" * 4000)[:-10])
+    await wait_until(lambda: client.connection.partial_since_ns)
+    assert len(client.connection.buffer.view) <= 8200
+    client.sock.sendall(b"x" * 10)
+    await wait_until(lambda: client.connection.has_received)
+    client.sock.sendall(b"\x94")
+    await wait_until(lambda: client.connection.partial_since_ns)
+    assert len(client.connection.buffer.view) == 4096
