--- a/burlloom/dispatcher/dispatcher.py
+++ b/burlloom/dispatcher/dispatcher.py
@@ -31,9 +31,9 @@
 
 log = logging.getLogger(__name__)
 
-# The number of idempotency keys held in memory, about 500 bytes each. Beyond it new keyed requests
-# are rejected.
+# The number of idempotency keys held in memory. Beyond it new keyed requests are rejected.
 MAX_KEY_DIGESTS = 40_000
+KEY_BYTES = 2 << 10  # memory of a key and of all that is held as long; a result counts apart
 # Tolerance added to the window of each key, since requests arrive over sockets.
 DEADLINE_SLACK_NS = 50_000_000
 # The name of the restrictions during recovery if the service level in force has none.
@@ -66,13 +66,18 @@
     pressure: float
 
 
-def adapt_settings(settings: ServerSettings) -> ServerSettings:
+def adapt_settings(settings: ServerSettings, max_key_bytes: int) -> ServerSettings:
     """Returns the settings adjusted to this executor and to keys in the server's own memory.
 
     The executor's protocol has no command to skip a call, so the controller is told that no answer
     without its call has any value. The controller counts the memory of keys as the executor's, but
     they are held by this process; the adjusted size of a key only limits the number of keys.
+
+    Args:
+        settings: The server's settings.
+        max_key_bytes: Memory of this process for keys.
     """
+    max_keys = max(1, min(MAX_KEY_DIGESTS, max_key_bytes // KEY_BYTES))
     request_classes = tuple(
         replace(request_class, value_share_without_call=0.0)
         for request_class in settings.request_classes
@@ -80,7 +85,7 @@
     return replace(
         settings,
         request_classes=request_classes,
-        idempotency_key_kb=settings.memory_kb / MAX_KEY_DIGESTS,
+        idempotency_key_kb=settings.memory_kb / max_keys,
     )
 
 
@@ -102,6 +107,7 @@
         executor_age_ns: int,
         max_result_bytes: int,
         recalls_results: bool = False,
+        max_key_bytes: int = MAX_KEY_DIGESTS * KEY_BYTES,
     ) -> None:
         """Starts the admission controller.
 
@@ -114,6 +120,7 @@
                 this process starts.
             max_result_bytes: The maximum total size of results in memory.
             recalls_results: Whether results that are not in memory may be persisted elsewhere.
+            max_key_bytes: The maximum total size of idempotency keys in memory.
         """
         max_deadline_ns = max(
             request_class.deadline_ns for request_class in settings.request_classes
@@ -124,7 +131,7 @@
             recalls_results,
             settings.idle_timeout_ns,
         )
-        self.settings = adapt_settings(settings)
+        self.settings = adapt_settings(settings, max_key_bytes)
         self.class_names = class_names
         self.next_ref = self.next_caller_index = 0
         self.service_level = self.configured_service_level = ServiceLevel()
@@ -165,7 +172,7 @@
         while not slot.directives:
             slot.waiter = self.loop.create_future()
             await slot.waiter
-        return slot.directives.popleft()
+        return slot.take_directive()
 
     def cancel_request(self, request_id: str) -> None:
         """Drops an attempt whose caller no longer waits; a started run continues."""
@@ -194,7 +201,8 @@
         elif (ref := self.refs_by_id.get(event.id, -1)) < 0:
             log.info("event=late_event kind=%s id=%s", type(event).__name__, event.id)
         elif isinstance(event, CallRequested):
-            self.slots[ref].body = event.body
+            if not self.slots[ref].is_answered:
+                self.slots[ref].body = event.body
             self.controller.call_requested(now, ref)
         elif isinstance(event, CallEnded):
             self.controller.call_ended(now, ref, event.outcome, event.duration_ns)
--- a/burlloom/dispatcher/request_slot.py
+++ b/burlloom/dispatcher/request_slot.py
@@ -1,7 +1,6 @@
 """The state that the dispatcher keeps for one request."""
 
 import asyncio
-from collections import deque
 
 from .directives import Directive
 
@@ -9,6 +8,9 @@
 class RequestSlot:
     """A request from its arrival until the admission controller releases it.
 
+    The slot of a request that has a key stays until the key's window is over. What is needed only
+    up to the answer is dropped then.
+
     Attributes:
         id: The attempt's id.
         caller: The caller's name.
@@ -38,5 +40,12 @@
         self.key_digest, self.is_idempotent = key_digest, is_idempotent
         self.body = b""
         self.is_started = self.is_answered = False
-        self.directives: deque[Directive] = deque()
+        self.directives: list[Directive] = []
         self.waiter: asyncio.Future[None] | None = None
+
+    def take_directive(self) -> Directive:
+        """Removes the next directive and returns it; there must be one."""
+        self.waiter = None
+        if self.is_answered:
+            self.body = b""
+        return self.directives.pop(0)
--- a/burlloom/server/server.py
+++ b/burlloom/server/server.py
@@ -36,6 +36,12 @@
 GAUGES_TIMEOUT_NS = 30 * NS_PER_MS
 # The memory for results that retries may request is the memory of the process divided by this.
 RESULT_MEMORY_DIVISOR = 8
+# Memory of the process before it has served anything.
+IDLE_PROCESS_BYTES = 32 << 20
+# The part of the remaining memory that idempotency keys may take, and their part of all memory
+# where little remains.
+KEY_MEMORY_DIVISOR = 2
+SCARCE_KEY_MEMORY_DIVISOR = 16
 # Fewest file descriptors that are reserved for the executor, calls, health reports and the process
 # itself; connections of callers may not use them.
 MIN_RESERVED_DESCRIPTORS = 64
@@ -62,6 +68,16 @@
     return max(max_sockets - reserved, max_sockets // 2)
 
 
+def max_key_bytes(memory_bytes: int) -> int:
+    """Returns how much memory idempotency keys may take, in bytes.
+
+    Args:
+        memory_bytes: Memory that the process may hold.
+    """
+    remaining_bytes = memory_bytes - IDLE_PROCESS_BYTES
+    return max(remaining_bytes // KEY_MEMORY_DIVISOR, memory_bytes // SCARCE_KEY_MEMORY_DIVISOR)
+
+
 class Server:
     """One server between callers, executor, downstream and name service.
 
@@ -276,6 +292,7 @@
             age_ms * NS_PER_MS,
             self.config.memory_bytes // RESULT_MEMORY_DIVISOR,
             self.subsystems.record.keeps_results,
+            max_key_bytes(self.config.memory_bytes),
         )
         record = self.subsystems.record
         self.subsystems.levels.attach_dispatcher(dispatcher, is_cold, record)
