Requests of callers that have left are dropped, and a started id does not run again

Seen (trials on one server): of 32 requests whose caller reset its connection, all were handed on and 4 run; a non-idempotent request ran twice when its id came again after its client had left. Cause: Linux hands out what was received before it tells of a reset, and an id was known only while its request was open. Related, by reading: when an id came again while its first attempt was looked up, the first was dispatched and the second lost. Change: the socket's error is read before received bytes are handled. StartedRequests remembers the ids of started non-idempotent requests for 60 s and two longest deadlines. Open requests are removed by identity.

--- a/burlloom/rpc/__init__.py
+++ b/burlloom/rpc/__init__.py
@@ -2,5 +2,6 @@
 
 from .incoming_request import IncomingRequest, RequestRules
 from .listener import RpcListener
+from .wire import max_request_age_ns
 
-__all__ = ["IncomingRequest", "RequestRules", "RpcListener"]
+__all__ = ["IncomingRequest", "RequestRules", "RpcListener", "max_request_age_ns"]
--- a/burlloom/rpc/connection.py
+++ b/burlloom/rpc/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import os
 import socket
 from collections.abc import Callable, Iterator
 from typing import Protocol
@@ -163,7 +164,15 @@
             self.consume(size)
 
     def consume(self, size: int) -> None:
-        """Handles the messages that `size` newly received bytes in the buffer complete."""
+        """Handles the messages that `size` newly received bytes in the buffer complete.
+
+        Raises:
+            ConnectionEndedError: The bytes are not a valid request message.
+            OSError: The caller has reset the connection meanwhile. The kernel still hands out what
+                it had received, but nobody waits for it any longer.
+        """
+        if error_number := self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise OSError(error_number, os.strerror(error_number))
         buffer, now_ns = self.buffer, self.owner.clock()
         buffer.end += size
         while buffer.start < buffer.end and not self.is_ended:
--- a/burlloom/rpc/wire.py
+++ b/burlloom/rpc/wire.py
@@ -44,11 +44,13 @@
 MAX_BODY_BYTES = 2 << 10
 MAX_COST_MS = 600_000.0
 MAX_MEMORY_KB = 2_000.0  # a request's memory is above 0 and below this
-# How far `at` may lie in the future, although caller and server share one machine's clock. It may
-# lie in the past by twice the longest deadline.
+# How far `at` may lie in the future, although caller and server share one machine's clock.
 MAX_CLOCK_LEAD_NS = 60 * NS_PER_SECOND
 MAX_QUOTED_CHARACTERS = 40  # length to which a received value is cut in an error
 
+# How many times the longest deadline `at` may lie in the past.
+MAX_AGE_IN_DEADLINES = 2
+
 REQUEST_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
 KEY_PATTERN = re.compile(r"[0-9A-Za-z]{1,64}")
 CALLER_PATTERN = re.compile(r"[0-9]{1,9}")
@@ -57,6 +59,15 @@
 DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
+def max_request_age_ns(max_deadline_ns: int) -> int:
+    """Returns for how long after its first arrival the same bytes are taken as a request, ns.
+
+    Args:
+        max_deadline_ns: The longest deadline of all classes.
+    """
+    return MAX_CLOCK_LEAD_NS + MAX_AGE_IN_DEADLINES * max_deadline_ns
+
+
 def parse_number(fields: dict[str, Any], name: str, minimum: float, maximum: float) -> float:
     """Returns the number in a field; 0 where the field is missing.
 
@@ -145,7 +156,11 @@
             "field tenant names no known tenant", f"{tenant!r:.{MAX_QUOTED_CHARACTERS}}"
         )
     sent_at_ns = int(parse_text(fields, "at", MILLISECONDS_PATTERN, True)) * NS_PER_MS
-    if not now_ns - 2 * rules.max_deadline_ns <= sent_at_ns <= now_ns + MAX_CLOCK_LEAD_NS:
+    if (
+        not now_ns - MAX_AGE_IN_DEADLINES * rules.max_deadline_ns
+        <= sent_at_ns
+        <= now_ns + MAX_CLOCK_LEAD_NS
+    ):
         raise MalformedRequestError("field at is too far in the past or in the future")
     memory_kb = parse_number(fields, "kb", 0, MAX_MEMORY_KB)
     priority = parse_number(fields, "rank", 0, 1)
--- a/burlloom/server/request_handler.py
+++ b/burlloom/server/request_handler.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from ..admission.model import Outcome
+from ..admission.model import Idempotency, Outcome
 from ..dispatcher import (
     CallEnded,
     CallRequested,
@@ -21,11 +21,12 @@
 )
 from ..downstream import CallStatus, ConnectionPool
 from ..executor import ExecutorConnection, RunStatus
-from ..rpc import IncomingRequest
+from ..rpc import IncomingRequest, max_request_age_ns
 from ..sockets import TaskSupervisor, sleep_ns
 from ..time_units import NS_PER_MS
 from .configuration import ServerConfig
 from .outcomes import CALL_OUTCOMES, RUN_OUTCOMES, send_answer
+from .started_requests import StartedRequests
 
 if TYPE_CHECKING:
     from ..downstream.service_pools import ServicePools
@@ -36,6 +37,7 @@
 # Delay before the end of a call that its run no longer waits for is reported to the dispatcher; the
 # reason is in `_call_downstream`.
 UNWANTED_CALL_DELAY_NS = 250 * NS_PER_MS
+MAX_STARTED_REQUESTS = 50_000  # some 150 bytes each
 
 
 class RequestHandler:
@@ -45,6 +47,7 @@
         dispatcher: Decides each step of a request; None until the executor has connected.
         open_requests: Requests without an answer yet, by id.
         class_indexes: Index of each request class in the settings, by name.
+        started_requests: The started requests of non-idempotent classes.
 
     Args:
         config: The server's configuration.
@@ -61,6 +64,10 @@
         self.class_indexes = {name: index for index, name in enumerate(config.class_names)}
         self.dispatcher: Dispatcher | None = None
         self.open_requests: dict[str, IncomingRequest] = {}
+        max_deadline_ns = max(each.deadline_ns for each in self.request_classes)
+        self.started_requests = StartedRequests(
+            max_request_age_ns(max_deadline_ns), MAX_STARTED_REQUESTS
+        )
 
     def connect(
         self,
@@ -84,9 +91,11 @@
     # Called by the listener of callers' connections.
 
     def is_serving(self, request_id: str) -> bool:
-        """Returns whether a request with this id is open here."""
-        return request_id in self.open_requests or (
-            self.dispatcher is not None and self.dispatcher.has_request(request_id)
+        """Returns whether a request with this id is open here, or must not run a second time."""
+        return (
+            request_id in self.open_requests
+            or request_id in self.started_requests
+            or (self.dispatcher is not None and self.dispatcher.has_request(request_id))
         )
 
     def load_report(self, caller: str) -> str:
@@ -107,9 +116,19 @@
             self.dispatcher.cancel_request(request.id)
         else:
             # The request is still being looked up in the record; it is dropped when that ends.
-            self.open_requests.pop(request.id, None)
+            self._remove_open(request)
             self.record.request_answered(request.id)
 
+    def _remove_open(self, request: IncomingRequest) -> bool:
+        """Removes a request from the open ones; returns whether it was one of them.
+
+        Another request with its id, which came after its caller had left, stays.
+        """
+        if self.open_requests.get(request.id) is not request:
+            return False
+        del self.open_requests[request.id]
+        return True
+
     def receive(self, request: IncomingRequest) -> None:
         """Handles a decoded request; most rejections are answered before this returns."""
         dispatcher = self.dispatcher
@@ -159,7 +178,7 @@
         A request that ran on another node must not be rejected.
         """
         await self.record.look_up(key_digest, request.id, request.sent_at_ns, attempt.request_class)
-        if self.open_requests.pop(request.id, None) is not None:
+        if self._remove_open(request):
             self._dispatch(dispatcher, request, attempt)
 
     def _dispatch(
@@ -222,7 +241,7 @@
                 request.fail()
             if pending_task is not None:
                 pending_task.cancel()
-            self.open_requests.pop(request.id, None)
+            self._remove_open(request)
 
     async def _read_result(
         self, dispatcher: Dispatcher, request: IncomingRequest, key_digest: bytes
@@ -275,6 +294,9 @@
         """
         request = self.open_requests.get(request_id)
         if request is not None:
+            request_class = self.request_classes[self.class_indexes[request.request_class]]
+            if request_class.idempotency is Idempotency.NON_IDEMPOTENT:
+                self.started_requests.add(request_id, self.clock())
             self.executor.start_run(request_id, request.request_class, request.body)
         else:
             self.run_ended(request_id, RunStatus.NO_LONGER_NEEDED, 0, b"")
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -763,3 +763,27 @@
     client.sock.sendall(b"\x94")
     await wait_until(lambda: client.connection.partial_since_ns)
     assert len(client.connection.buffer.view) == 4096
+
+
+@pytest.mark.parametrize("is_reset", [True, False])
+def test_requests_that_are_unread_when_their_caller_resets_are_dropped(is_reset: bool) -> None:
+    """Guards against picture (c) of issue 59: they were handed on after their caller had left.
+
+    A caller that closes over answers it has not read resets its connection too.
+    """
+
+    async def scenario() -> None:
+        harness = ListenerHarness()
+        client = await harness.client()
+        client.sock.sendall(request(1, "health", {}))
+        await wait_until(lambda: client.connection.has_received)
+        await run_loop_turns()  # the answer is in the caller's kernel, unread
+        frames = [request(number, "look", fields(), b"x" * 2048) for number in range(2, 30)]
+        client.sock.sendall(b"".join(frames))
+        if is_reset:
+            client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.sock.close()
+        await wait_until(lambda: client.connection.is_ended)
+        assert harness.requests == harness.lost == []
+
+    on_loop(scenario)()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -328,6 +328,25 @@
     await expect_result(repeat, b"paid")
 
 
+@with_server(idempotency="fragile")
+async def test_a_non_idempotent_request_runs_once_however_often_it_comes(rig: Rig) -> None:
+    """Guards against picture (c) of issue 59: an id ran twice when it came again."""
+    request = fields()
+    first = await rig.balancer()
+    first.ask("look", request, b"body")
+    id = await rig.command("EXEC", "look")
+    first.reset()
+    second = await rig.balancer()
+    await expect_error(second.ask("look", request, b"body"), "BadRequest")  # while it runs
+    rig.executor.exit(id, result=b"done")
+    await wait_until(lambda: "event=connection_closed" in rig.log())
+    await rig.wait_until_commands_confirmed()
+    third = await rig.balancer()
+    await expect_error(third.ask("look", request, b"body"), "BadRequest")  # after it has ended
+    await serve_one_request(rig, third)
+    assert rig.executor.commands.empty()
+
+
 @with_server()
 async def test_health_is_reported_to_the_name_service(rig: Rig) -> None:
     past_query_count = rig.executor.gauge_query_count
