--- a/burlloom/rpc/listener.py
+++ b/burlloom/rpc/listener.py
@@ -18,24 +18,14 @@
 from ..time_units import NS_PER_MS, NS_PER_SECOND
 from . import wire
 from .connection import Connection
+from .connection_sweeper import MAX_TOTAL_UNSENT_BYTES, ConnectionSweeper
 from .incoming_request import IncomingRequest, RequestRules
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024  # connections that the kernel queues until they are accepted
 POLL_INTERVAL_NS = 10 * NS_PER_MS
-SWEEP_INTERVAL_NS = 250 * NS_PER_MS
-FIRST_MESSAGE_TIMEOUT_NS = 1500 * NS_PER_MS  # from the accept to the end of the first message
-MESSAGE_TIMEOUT_NS = 1500 * NS_PER_MS  # from a message's first byte to its last
-# For how long the network may hold the notification that asks a caller to close its connection.
-# Requests that the caller sends meanwhile are answered.
-MAX_NOTIFICATION_DELAY_NS = 6 * NS_PER_SECOND
-# Idle timeout of connections that carried only health checks. Many callers check the health once
-# and keep the connection open; a prober whose connection is closed connects again.
-HEALTH_IDLE_TIMEOUT_NS = 3 * NS_PER_SECOND
 DEFAULT_IDLE_TIMEOUT_NS = 15 * NS_PER_SECOND  # until the admission controller sets one
-CROWDED_IDLE_TIMEOUT_NS = 2 * NS_PER_SECOND  # while over 3/4 of `max_connections` are open
-MAX_TOTAL_UNSENT_BYTES = 8 << 20  # unsent answers of all connections; beyond it some are closed
 # A flood of new connections must not delay the existing ones.
 MAX_ACCEPTS_PER_WAKE = 32
 
@@ -54,6 +44,7 @@
         evictable_connections: Idle connections that may be closed in favour of new ones, the
             longest unused at the end. Refilled only when empty, as sorting for each new connection
             of a flood would cost too much.
+        sweeper: Closes connections over their limits.
         socket: The listening socket; None once it is closed.
     """
 
@@ -94,24 +85,15 @@
         self.closing: dict[ConnectionClose, asyncio.Task[None]] = {}
         self.is_draining = False
         self.idle_timeout_ns = DEFAULT_IDLE_TIMEOUT_NS
-        self.last_sweep_ns, self.has_skipped_sweep = clock(), False
         self.silent_connections: dict[Connection, None] = {}
         self.evictable_connections: list[Connection] = []
+        self.sweeper = ConnectionSweeper(self)
 
     @property
     def has_open_requests(self) -> bool:
         """Whether any connection has an open request or an unsent answer."""
         return not all(connection.is_idle for connection in self.connections)
 
-    @property
-    def shutdown_timeout_ns(self) -> int:
-        """Time from asking a caller to close its connection until the server closes it.
-
-        A request that the caller sends before it reads the notification may arrive any time up to
-        its deadline.
-        """
-        return MAX_NOTIFICATION_DELAY_NS + self.rules.max_deadline_ns
-
     # Methods of `ConnectionOwner`, called by the connections.
 
     def response_fields(self, caller: str) -> dict[str, str]:
@@ -245,97 +227,6 @@
             )
         return False
 
-    # Methods that close connections over their limits.
-
-    async def run(self) -> None:
-        """Sweeps the connections periodically, and never returns."""
-        while True:
-            await sleep_ns(SWEEP_INTERVAL_NS)
-            try:
-                self.sweep()
-            except Exception:
-                # The next sweep runs all the same: without it no connection would be closed.
-                log.exception("event=internal_error side=balancer")
-
-    def sweep(self) -> None:
-        """Closes connections that are silent, stalled, idle or have too many unsent bytes.
-
-        After a pause of the machine one sweep is skipped, so that the bytes received meanwhile are
-        read first. Two sweeps in a row are not skipped: a process that is always this late would
-        never close any connection.
-        """
-        now_ns, previous_sweep_ns = self.clock(), self.last_sweep_ns
-        self.last_sweep_ns = now_ns
-        self.evictable_connections.clear()
-        if now_ns - previous_sweep_ns > 2 * SWEEP_INTERVAL_NS and not self.has_skipped_sweep:
-            self.has_skipped_sweep = True
-            return
-        self.has_skipped_sweep = False
-        is_crowded = 4 * len(self.connections) > 3 * self.max_connections
-        idle_timeout_ns = self.idle_timeout_ns
-        if is_crowded:
-            idle_timeout_ns = min(idle_timeout_ns, CROWDED_IDLE_TIMEOUT_NS)
-        for connection in list(self.connections):
-            self.check_connection(connection, now_ns, idle_timeout_ns)
-        self.close_slowest_readers()
-
-    def check_connection(self, connection: Connection, now_ns: int, idle_timeout_ns: int) -> None:
-        """Closes a connection that is over its limits, or asks its caller to close it."""
-        if (
-            connection.partial_since_ns
-            and now_ns - connection.partial_since_ns > MESSAGE_TIMEOUT_NS
-        ):
-            started_ns = connection.partial_since_ns
-            connection.read_remaining()
-            if connection.partial_since_ns == started_ns:
-                connection.close_with_detail(CloseReason.MESSAGE_TIMEOUT)
-        elif not connection.is_idle:
-            return
-        elif not connection.has_received:
-            self.check_silent(connection, now_ns)
-        elif connection.is_shutdown_sent:
-            self.check_shutdown(connection, now_ns)
-        else:
-            if connection.is_health_only:
-                idle_timeout_ns = HEALTH_IDLE_TIMEOUT_NS
-            if now_ns - connection.last_used_ns > idle_timeout_ns:
-                connection.request_shutdown(now_ns)
-
-    def check_silent(self, connection: Connection, now_ns: int) -> None:
-        """Closes a connection that has received no message in time.
-
-        A connection whose first bytes arrived late is not silent: the reason is the timeout of the
-        message.
-        """
-        if now_ns - connection.last_used_ns <= FIRST_MESSAGE_TIMEOUT_NS:
-            return
-        connection.read_remaining()
-        if not connection.has_received:
-            reason = CloseReason.FIRST_MESSAGE_TIMEOUT
-            if connection.partial_since_ns:
-                reason = CloseReason.MESSAGE_TIMEOUT
-            connection.close_with_detail(reason)
-
-    def check_shutdown(self, connection: Connection, now_ns: int) -> None:
-        """Closes a connection whose caller was asked to close it and did not in time."""
-        since_ns = max(connection.shutdown_sent_ns, connection.last_used_ns)
-        is_late = now_ns - since_ns > self.shutdown_timeout_ns and not connection.partial_since_ns
-        if is_late and not has_unread_bytes(connection.socket):
-            reason = CloseReason.SHUTDOWN if self.is_draining else CloseReason.IDLE_TIMEOUT
-            connection.close_with_detail(reason)
-
-    def close_slowest_readers(self) -> None:
-        """Closes the connections with the most unsent bytes until the total is in its bound."""
-        unsent_bytes = sum(connection.writer.unsent_bytes for connection in self.connections)
-        if unsent_bytes <= MAX_TOTAL_UNSENT_BYTES:
-            return
-        for connection in sorted(
-            self.connections, key=lambda connection: -connection.writer.unsent_bytes
-        ):
-            if unsent_bytes > MAX_TOTAL_UNSENT_BYTES:
-                unsent_bytes -= connection.writer.unsent_bytes
-                connection.close_with_detail(CloseReason.SLOW_CONSUMER)
-
     # Methods that end the listener.
 
     def start_drain(self) -> None:
--- a/burlloom/server/server.py
+++ b/burlloom/server/server.py
@@ -185,7 +185,7 @@
         self.listener.listen()
         self.tasks.start(self.executor.maintain(), "executor")
         self.tasks.start(self.health_reporter.run(), "discovery")
-        self.tasks.start(self.listener.run(), "front")
+        self.tasks.start(self.listener.sweeper.run(), "front")
         self.subsystems.rollout.open()
         log.info("event=listening name=%s address=%s:%d", self.config.name, *self.address)
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -26,7 +26,7 @@
 from burlloom.fakes.parts import fields
 from burlloom.rpc import IncomingRequest, RequestRules, RpcListener
 from burlloom.rpc.connection import Connection
-from burlloom.rpc.listener import SWEEP_INTERVAL_NS
+from burlloom.rpc.connection_sweeper import SWEEP_INTERVAL_NS
 from burlloom.sockets import CloseReason, TaskSupervisor
 from burlloom.time_units import NS_PER_MS, NS_PER_SECOND
 
@@ -70,10 +70,10 @@
         client.sock.sendall(request(1, "health", {}))
         await wait_until(lambda: client.connection.has_received)
         self.now += 60 * NS_PER_SECOND
-        self.rpc_listener.sweep()
-        self.rpc_listener.sweep()  # the first sweep may take the clock step for a pause
+        self.rpc_listener.sweeper.sweep()
+        self.rpc_listener.sweeper.sweep()  # the first sweep may take the clock step for a pause
         assert client.connection.is_shutdown_sent
-        self.now += self.rpc_listener.shutdown_timeout_ns + NS_PER_SECOND
+        self.now += self.rpc_listener.sweeper.shutdown_timeout_ns + NS_PER_SECOND
         return client
 
 
@@ -131,14 +131,15 @@
     harness = ListenerHarness()
     client = await harness.client_asked_to_close()
     in_one_turn(
-        lambda: client.sock.sendall(look_request(2, harness.now)), harness.rpc_listener.sweep
+        lambda: client.sock.sendall(look_request(2, harness.now)),
+        harness.rpc_listener.sweeper.sweep,
     )
     await run_loop_turns()
     assert [attempt.message_id for attempt in harness.requests] == [2]
     harness.requests[0].complete(b"served")
     await run_loop_turns()
-    harness.now += harness.rpc_listener.shutdown_timeout_ns + NS_PER_SECOND
-    harness.rpc_listener.sweep()
+    harness.now += harness.rpc_listener.sweeper.shutdown_timeout_ns + NS_PER_SECOND
+    harness.rpc_listener.sweeper.sweep()
     assert [1, 2, None, [b"served", {}]] in await client.read_to_end()
 
 
@@ -146,7 +147,7 @@
     """Lets time pass at the pace of the sweeps."""
     for _ in range(duration_ns // SWEEP_INTERVAL_NS):
         harness.now += SWEEP_INTERVAL_NS
-        harness.rpc_listener.sweep()
+        harness.rpc_listener.sweeper.sweep()
         await run_loop_turns(2)
 
 
@@ -188,9 +189,10 @@
     harness = ListenerHarness()
     client = await harness.client()
     harness.now += 1600 * NS_PER_MS
-    harness.rpc_listener.last_sweep_ns = harness.now - 250 * NS_PER_MS
+    harness.rpc_listener.sweeper.last_sweep_ns = harness.now - 250 * NS_PER_MS
     in_one_turn(
-        lambda: client.sock.sendall(look_request(1, harness.now)), harness.rpc_listener.sweep
+        lambda: client.sock.sendall(look_request(1, harness.now)),
+        harness.rpc_listener.sweeper.sweep,
     )
     await run_loop_turns()
     await assert_served(harness, client)
@@ -255,7 +257,7 @@
     message = look_request(2, harness.now)
     client.sock.sendall(message[:9])
     await wait_until(lambda: client.connection.partial_since_ns)
-    harness.rpc_listener.sweep()
+    harness.rpc_listener.sweeper.sweep()
     client.sock.sendall(message[9:])
     await wait_until(lambda: harness.requests)
     harness.requests[0].complete(b"served")
@@ -270,7 +272,7 @@
     client = await harness.client()
     for _ in range(4):
         harness.now += NS_PER_SECOND
-        harness.rpc_listener.sweep()
+        harness.rpc_listener.sweeper.sweep()
     assert await client.read_to_end() == []
     assert client.connection.is_ended
 
@@ -286,9 +288,10 @@
     client.sock.sendall(look_request(1, harness.now)[:3])
     await wait_until(lambda: client.connection.partial_since_ns)
     harness.now += 1600 * NS_PER_MS
-    harness.rpc_listener.last_sweep_ns = harness.now - 250 * NS_PER_MS
+    harness.rpc_listener.sweeper.last_sweep_ns = harness.now - 250 * NS_PER_MS
     in_one_turn(
-        lambda: client.sock.sendall(look_request(1, harness.now)[3:9]), harness.rpc_listener.sweep
+        lambda: client.sock.sendall(look_request(1, harness.now)[3:9]),
+        harness.rpc_listener.sweeper.sweep,
     )
     await run_loop_turns()
     assert client.connection.is_ended
@@ -303,8 +306,8 @@
     client.sock.sendall(message[:9])
     await wait_until(lambda: client.connection.partial_since_ns)
     harness.now += 1600 * NS_PER_MS
-    harness.rpc_listener.last_sweep_ns = harness.now - 250 * NS_PER_MS
-    in_one_turn(lambda: client.sock.sendall(message[9:]), harness.rpc_listener.sweep)
+    harness.rpc_listener.sweeper.last_sweep_ns = harness.now - 250 * NS_PER_MS
+    in_one_turn(lambda: client.sock.sendall(message[9:]), harness.rpc_listener.sweeper.sweep)
     await run_loop_turns()
     await assert_served(harness, client)
 
@@ -733,8 +736,8 @@
         clients[0].sock.close()
         await wait_until(lambda: len(harness.rpc_listener.connections) == 2)
         harness.now += 2 * NS_PER_SECOND
-        harness.rpc_listener.sweep()
-        harness.rpc_listener.sweep()  # the first sweep may take the clock step for a pause
+        harness.rpc_listener.sweeper.sweep()
+        harness.rpc_listener.sweeper.sweep()  # the first sweep may take the clock step for a pause
         assert not harness.rpc_listener.connections
         for client in clients:
             client.sock.close()
