The executor's gauge queries are a class of their own

Cause: executor/connection.py kept tags, futures and counts of its queries in a bare dict of tuples, beside all else. Change: GaugePolls (executor/gauge_polls.py), with what an answer confirms given by the caller; behaviour as before.

--- a/burlloom/executor/connection.py
+++ b/burlloom/executor/connection.py
@@ -22,6 +22,7 @@
 )
 from ..time_units import NS_PER_SECOND
 from . import wire
+from .gauge_polls import GaugePolls, Gauges
 from .unconfirmed_commands import SEND_CALL_RESULT, START_RUN, CommandKey, UnconfirmedCommands
 from .wire import Command, NoticeKind, RunStatus
 
@@ -46,8 +47,6 @@
 RUN_ENDED = NoticeKind.RUN_ENDED
 CALL_REQUESTED = NoticeKind.CALL_REQUESTED
 
-Gauges = list[float]
-
 
 class ExecutorConnection:
     """Sends commands to the executor, and hands its notices on.
@@ -60,8 +59,7 @@
         last_notice: The number of the last handled notice; on a new connection the executor sends
             the later ones again.
         unconfirmed: The commands that the executor may not have received.
-        pending_polls: For each tag, the future of the gauges, and how many commands were sent
-            before the query.
+        polls: The gauge queries that are not answered yet.
         is_joined: Whether this connection's replay of notices is over, and commands may be sent.
         is_replaying: Whether the next notice's number may skip some, as it is the first of a
             replay.
@@ -105,8 +103,7 @@
         self.on_call_result_uncertain = on_call_result_uncertain
         self.last_notice = 0
         self.unconfirmed = UnconfirmedCommands()
-        self.pending_polls: dict[str, tuple[asyncio.Future[Gauges | None], int]] = {}
-        self.last_tag = 0
+        self.polls = GaugePolls()
         self.writer: SocketWriter | None = None
         self.is_joined = self.is_replaying = self.has_served = False
         self.barrier_tag, self.unanswered_polls = "", 0
@@ -144,7 +141,7 @@
         """Sends a gauge query, whose answer confirms the commands sent so far."""
         self.confirm_timer = None
         if self.is_joined and len(self.unconfirmed):
-            self.poll_gauges()
+            self.poll_gauges(self.unconfirmed.count)
 
     async def query_gauges(self, timeout_ns: int) -> Gauges | None:
         """Returns the executor's current gauges; None where it does not answer in time."""
@@ -152,7 +149,7 @@
             return None
         # A query on a connection that is not joined counts as unanswered too: the answer that
         # would join it may have been lost.
-        poll = self.poll_gauges() if self.is_joined else None
+        poll = self.poll_gauges(self.unconfirmed.count)[1] if self.is_joined else None
         is_answered = poll is not None and bool(
             (await asyncio.wait({poll}, timeout=timeout_ns / NS_PER_SECOND))[0]
         )
@@ -166,15 +163,16 @@
                 self.writer.socket.shutdown(socket.SHUT_RDWR)
         return poll.result() if is_answered and poll is not None else None
 
-    def poll_gauges(self) -> "asyncio.Future[Gauges | None]":
-        """Sends a gauge query; returns a future of its answer, None if the connection is lost."""
-        self.last_tag += 1
-        tag = f"m{self.last_tag}"
-        poll: asyncio.Future[Gauges | None] = asyncio.get_running_loop().create_future()
-        self.pending_polls[tag] = poll, self.unconfirmed.count if self.is_joined else 0
+    def poll_gauges(self, command_count: int) -> tuple[str, "asyncio.Future[Gauges | None]"]:
+        """Sends a gauge query; returns its tag and the future of its answer.
+
+        Args:
+            command_count: How many of all commands the answer confirms.
+        """
         assert self.writer is not None
+        tag, gauges = self.polls.add(command_count)
         self.writer.send(wire.encode_gauge_query(tag))
-        return poll
+        return tag, gauges
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Connects to another address, once the commands on this connection are confirmed."""
@@ -189,7 +187,7 @@
         Further commands wait for the next connection.
         """
         if self.is_joined:
-            poll = self.poll_gauges()
+            _, poll = self.poll_gauges(self.unconfirmed.count)
             self.is_joined = False
             await asyncio.wait({poll}, timeout=HANDOVER_TIMEOUT_NS / NS_PER_SECOND)
         connection_task.cancel()
@@ -266,10 +264,7 @@
             self.uncertain_timer.cancel()
             self.uncertain_timer = None
         self.is_joined, self.barrier_tag = False, ""
-        for poll, _ in self.pending_polls.values():
-            if not poll.done():
-                poll.set_result(None)
-        self.pending_polls.clear()
+        self.polls.cancel_all()
 
     async def read_notices(self, sock: socket.socket) -> None:
         """Sends the join command, and handles notices until the executor closes the connection.
@@ -327,8 +322,7 @@
         is_cold = wire.parse_is_cold(fields[0])
         self.is_replaying = True
         self.on_welcome(is_cold, wire.parse_integer(fields[1]))
-        self.poll_gauges()
-        self.barrier_tag = f"m{self.last_tag}"
+        self.barrier_tag, _ = self.poll_gauges(0)
 
     def handle_run_ended(self, fields: list[str], body: memoryview) -> None:
         """Confirms the run's commands and reports its end."""
@@ -365,12 +359,14 @@
 
     def handle_gauges(self, tag: str, values: Gauges) -> None:
         """Completes the poll with this tag, and confirms the commands sent before it."""
-        poll, confirmed_count = self.pending_polls.pop(tag, (None, 0))
-        self.unconfirmed.confirm_until(confirmed_count)
+        poll = self.polls.take(tag)
+        if poll is None:
+            return
+        self.unconfirmed.confirm_until(poll.command_count)
         if tag == self.barrier_tag:
             self.finish_join()
-        if poll is not None and not poll.done():
-            poll.set_result(values)
+        if not poll.gauges.done():
+            poll.gauges.set_result(values)
 
     def finish_join(self) -> None:
         """Sends what waits for this connection, at the end of the replay."""
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -65,7 +65,7 @@
         "connections": len(server.listener.connections),
         "evictable_connections": len(server.listener.evictable_connections),
         "unconfirmed_commands": len(server.executor.unconfirmed),
-        "pending_polls": len(server.executor.pending_polls),
+        "pending_polls": len(server.executor.polls.pending),
         "idle_connections": len(server.downstream.idle_connections)
         if isinstance(server.downstream, ConnectionPool)
         else 0,
