The start of a run that must not run twice is written to the executor once

Change: only EXEC of an idempotent class is sent again. A late notice no longer replaces the result of a request whose end is being written (RecordCoordinator.finish_run). Why it works: a run is started by at most one copy of its command.

--- a/burlloom/executor/connection.py
+++ b/burlloom/executor/connection.py
@@ -52,8 +52,8 @@
     """Sends commands to the executor, and hands its notices on.
 
     The result of a call is written at most once: sent again, it could reach a run that has gone on
-    to its next call. A confirmed command is never sent again either: its run may have ended, and
-    would run again.
+    to its next call. So is the start of a run that must not run twice: sent again, it could arrive
+    after the run's end. A confirmed command is never sent again either.
 
     Attributes:
         last_notice: The number of the last handled notice; on a new connection the executor sends
@@ -112,10 +112,19 @@
         self.connection_task: asyncio.Task[tuple[CloseReason, str]] | None = None
         self.connect_timeout_ns = CONNECT_TIMEOUT_NS
 
-    def start_run(self, request_id: str, request_class: str, body: bytes) -> None:
-        """Sends the command that runs a request."""
+    def start_run(
+        self, request_id: str, request_class: str, body: bytes, is_idempotent: bool
+    ) -> None:
+        """Sends the command that runs a request.
+
+        Args:
+            request_id: The request's id.
+            request_class: The name of its class.
+            body: Its body.
+            is_idempotent: Whether a second run of it does no harm.
+        """
         command = wire.encode_start_run(request_id, request_class, body)
-        self.send_command(START_RUN, request_id, command, is_repeatable=True)
+        self.send_command(START_RUN, request_id, command, is_repeatable=is_idempotent)
 
     def send_call_result(self, request_id: str, result: bytes) -> None:
         """Sends a run the result of the call that it requested."""
@@ -382,7 +391,10 @@
         self.uncertain_timer = None
         for name, request_id in self.unconfirmed.take_uncertain():
             log.warning("event=command_uncertain command=%s id=%s", name, request_id)
-            self.on_call_result_uncertain(request_id)
+            if name is START_RUN:
+                self.on_run_ended(request_id, RunStatus.UNCERTAIN, 0, b"")
+            else:
+                self.on_call_result_uncertain(request_id)
 
     def handle_rejection(self, fields: list[str]) -> None:
         """Ends the run of a request whose command the executor rejected."""
--- a/burlloom/executor/wire.py
+++ b/burlloom/executor/wire.py
@@ -58,7 +58,8 @@
     """How a run ended.
 
     A KILLED run was stopped before its end. A run that is NO_LONGER_NEEDED was not begun, since
-    nobody needs its result. REJECTED means that the executor does not know the request.
+    nobody needs its result. REJECTED means that the executor does not know the request. The
+    executor never sends UNCERTAIN: the command that starts the run may be lost and is not repeated.
     """
 
     PASSED = "passed"
@@ -66,6 +67,7 @@
     KILLED = "killed"
     NO_LONGER_NEEDED = "no_longer_needed"
     REJECTED = "rejected"
+    UNCERTAIN = "uncertain"
 
 
 class Notice(NamedTuple):
--- a/burlloom/lab/machine.py
+++ b/burlloom/lab/machine.py
@@ -207,7 +207,9 @@
         self.is_stopped = self.ignores_gauge_queries = False
         self.memory_kb = 0.0
 
-    def start_run(self, request_id: str, request_class: str, body: bytes) -> None:
+    def start_run(
+        self, request_id: str, request_class: str, body: bytes, is_idempotent: bool
+    ) -> None:
         """Starts a run, unless the request runs already."""
         if request_id in self.runs:
             return
--- a/burlloom/record/coordinator.py
+++ b/burlloom/record/coordinator.py
@@ -288,6 +288,8 @@
         if request is None:
             return
         failpoints.hit("ended")
+        if request.state in RUN_ENDED_STATES:
+            return  # its result may still have to be written
         event = EVENT_BY_OUTCOME.get(outcome, RequestEvent.RUN_FAILED)
         request.result = result if event is RequestEvent.RUN_SUCCEEDED else b""
         self._handle(request, event)
--- a/burlloom/server/outcomes.py
+++ b/burlloom/server/outcomes.py
@@ -10,6 +10,7 @@
     RunStatus.PASSED: Outcome.OK,
     RunStatus.FAILED: Outcome.FAILED,
     RunStatus.KILLED: Outcome.ABANDONED,
+    RunStatus.UNCERTAIN: Outcome.ABANDONED,
     RunStatus.NO_LONGER_NEEDED: Outcome.NO_LONGER_NEEDED,
     RunStatus.REJECTED: Outcome.NO_LONGER_NEEDED,
 }
--- a/burlloom/server/request_handler.py
+++ b/burlloom/server/request_handler.py
@@ -297,7 +297,8 @@
             request_class = self.request_classes[self.class_indexes[request.request_class]]
             if request_class.idempotency is Idempotency.NON_IDEMPOTENT:
                 self.started_requests.add(request_id, self.clock())
-            self.executor.start_run(request_id, request.request_class, request.body)
+            is_idempotent = request_class.idempotency is Idempotency.IDEMPOTENT
+            self.executor.start_run(request_id, request.request_class, request.body, is_idempotent)
         else:
             self.run_ended(request_id, RunStatus.NO_LONGER_NEEDED, 0, b"")
 
--- a/tests/simulate.py
+++ b/tests/simulate.py
@@ -171,7 +171,7 @@
         self.reported_runs: list[tuple[str, RunStatus, bytes]] = []
         self.timers_by_run_id: dict[str, list[asyncio.TimerHandle]] = {}
 
-    def start_run(self, id: str, product: str, body: bytes) -> None:
+    def start_run(self, id: str, product: str, body: bytes, is_idempotent: bool) -> None:
         if id in self.timers_by_run_id:
             return
         loop = asyncio.get_running_loop()
--- a/tests/test_executor_commands.py
+++ b/tests/test_executor_commands.py
@@ -53,6 +53,7 @@
         )
         self.runs: dict[str, ModelRun] = {}
         self.run_counts: dict[str, int] = {}
+        self.non_idempotent: set[str] = set()
         self.answers: dict[str, str] = {}
         self.notices: list[Notice] = []
         self.wrong_results: list[str] = []
@@ -75,7 +76,10 @@
     def start_request(self) -> None:
         self.request_count += 1
         id = f"{self.request_count:016x}"
-        self.link.start_run(id, self.draw.choice(["look", "pay"]), b"body")
+        is_idempotent = self.draw.random() < 0.5
+        if not is_idempotent:
+            self.non_idempotent.add(id)
+        self.link.start_run(id, "look" if is_idempotent else "pay", b"body", is_idempotent)
 
     def connect(self) -> None:
         self.writer = FakeWriter()
@@ -205,3 +209,13 @@
     assert not ended.wrong_results
     assert len(ended.answers) == ended.request_count  # each request has an answer in the end
     assert ended.request_count > 10
+
+
+@pytest.mark.parametrize("seed", range(WALKS))
+def test_no_run_that_must_not_run_twice_does_so_in_any_order(seed: int) -> None:
+    """Guards against review/9: a start that had arrived was sent again after the run's end."""
+    ended = walk(seed)
+    assert {
+        id for id, count in ended.run_counts.items() if count > 1
+    } & ended.non_idempotent == set()
+    assert ended.non_idempotent
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -1,9 +1,15 @@
 """Exhaustive exploration of the request state machine, and of deliberately broken tables."""
 
+from types import SimpleNamespace
+from typing import Any
+
 import pytest
 from explore_request_lifecycle import InvariantViolation, LifecycleExplorer
 
+from burlloom.admission.model import Outcome
 from burlloom.record import request_lifecycle
+from burlloom.record.coordinator import RecordCoordinator
+from burlloom.record.request_lifecycle import RequestEvent, RequestState
 
 # Nodes, attempts, crashes and faults. Small enough for CI; docs/results.md has larger models.
 MODEL_SIZES = {
@@ -73,3 +79,19 @@
     with pytest.raises(InvariantViolation):
         for model_size in MODEL_SIZES.values():
             LifecycleExplorer(*model_size).explore()
+
+
+@pytest.mark.parametrize("outcome", [Outcome.NO_LONGER_NEEDED, Outcome.FAILED, Outcome.OK])
+def test_a_second_end_of_a_run_does_not_replace_the_result_that_is_being_written(
+    outcome: Outcome,
+) -> None:
+    """Guards against a result that is lost when its write is repeated after another notice."""
+    request = SimpleNamespace(state=RequestState.SUCCEEDED, result=b"paid")
+    handled: list[RequestEvent] = []
+    coordinator: Any = SimpleNamespace(
+        registry=SimpleNamespace(by_id={"id": request}),
+        _handle=lambda _, event: handled.append(event),
+    )
+    RecordCoordinator.finish_run(coordinator, "id", outcome, b"")
+    assert request.result == b"paid"
+    assert not handled
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -210,6 +210,25 @@
     assert executor.commands.empty()
 
 
+@with_server()
+async def test_the_start_of_a_keyed_run_is_sent_once_over_a_lost_connection(rig: Rig) -> None:
+    """Guards against review/9: a charge ran again, as its start came again after its end.
+
+    The start is lost here. The server can't know that: it fails the request and its retries.
+    """
+    balancer, executor = await rig.balancer(), rig.executor
+    executor.is_unresponsive = True
+    answer = balancer.ask("pay", fields(once="k1"))
+    await wait_until(lambda: executor.lost_command_count)
+    executor.drop_connection()
+    executor.is_unresponsive = False
+    await expect_error(answer, "Voided")
+    assert "event=command_uncertain command=EXEC" in rig.log()
+    await expect_error(balancer.ask("pay", fields(once="k1", retry="1")), "Voided")
+    await serve_one_request(rig, balancer)
+    assert executor.commands.empty()
+
+
 @with_server()
 async def test_an_executor_connection_that_is_open_but_silent(rig: Rig) -> None:
     """Silence is detected before the handshake is complete too, since its answer may be lost."""
