Requests that are only too old close no connection over live ones

Cause: an old `at` counted as a fault of the caller; the fourth fault of a connection closes it and drops what lies behind it. Evidence: the listener alone, 32 old requests and a live one in one piece: the live one was never handed on. Change: a well-formed request that is too old is answered with an error and not counted, up to 32 with no current one in between. Why it works: a caller has at most 32 requests open on a connection, so that a silence holds no more. Tests: test_expired_requests_of_a_silence_close_nothing_over_live_ones (failed before), test_a_flood_of_expired_or_malformed_requests_is_cut_off (32 answers, or 4 as before, then a close).

--- a/burlloom/rpc/connection.py
+++ b/burlloom/rpc/connection.py
@@ -20,7 +20,12 @@
 )
 from . import frames, wire
 from .frame_scanner import MAX_HEAD_BYTES, MAX_MESSAGE_BYTES
-from .incoming_request import IncomingRequest, MalformedRequestError, RequestRules
+from .incoming_request import (
+    ExpiredRequestError,
+    IncomingRequest,
+    MalformedRequestError,
+    RequestRules,
+)
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +38,9 @@
 # requests are less, so a caller that reads its answers never reaches this.
 MAX_UNSENT_BYTES = 512 << 10
 MAX_BAD_REQUESTS = 4  # the bad request with this number closes the connection
+# Expired requests without a current one in between; one more closes the connection. A network that
+# falls silent holds no more than a caller may have open.
+MAX_EXPIRED_REQUESTS = MAX_OPEN_REQUESTS
 
 # The peer is gone, so open requests are not answered before the close.
 PEER_GONE_REASONS = (CloseReason.PEER_CLOSED, CloseReason.PEER_RESET)
@@ -88,6 +96,7 @@
         last_used_ns: When the last message was received or the last answer sent, Unix ns.
         shutdown_sent_ns: When the caller was asked to close the connection, Unix ns; meaningless
             unless `is_shutdown_sent`.
+        expired_count: How many expired requests came since the last current one.
         partial_since_ns: When the first bytes of the incomplete message at the end of the buffer
             were received, Unix ns; 0 while no message is incomplete.
         has_received: Whether a complete message was ever received.
@@ -110,6 +119,7 @@
         self.last_used_ns = self.shutdown_sent_ns = owner.clock()
         self.partial_since_ns = 0
         self.request_count = self.response_count = self.bad_request_count = 0
+        self.expired_count = 0
         self.has_received = self.is_shutdown_sent = self.is_health_only = False
         self.is_half_closed = self.is_ended = False
         self.caller = self.detail = ""
@@ -272,9 +282,13 @@
             )
             if self.owner.is_serving(request.id):
                 raise MalformedRequestError(f"request id {request.id} is already open")
+        except ExpiredRequestError as error:
+            self.reject_expired(message_id, str(error))
+            return
         except MalformedRequestError as error:
             self.reject_malformed(message_id, str(error))
             return
+        self.expired_count = 0
         self.open_requests[message_id] = request
         self.caller = request.caller
         self.request_count += 1
@@ -287,6 +301,16 @@
         self.writer.send(frames.encode_health(message_id, is_healthy, fields))
         self.close_if_slow()
 
+    def reject_expired(self, message_id: int, fault: str) -> None:
+        """Answers an expired request with an error; it is a fault only where there are many."""
+        self.expired_count += 1
+        if self.expired_count > MAX_EXPIRED_REQUESTS:
+            self.close_with_detail(CloseReason.TOO_MANY_BAD_REQUESTS, fault)
+            return
+        fields = self.owner.response_fields(self.caller)
+        self.writer.send(wire.encode_malformed(message_id, fields))
+        self.detail = fault
+
     def reject_malformed(self, message_id: int, fault: str) -> None:
         """Answers a malformed request with an error, and counts it."""
         fields = self.owner.response_fields(self.caller)
--- a/burlloom/rpc/incoming_request.py
+++ b/burlloom/rpc/incoming_request.py
@@ -23,6 +23,10 @@
         self.value = value
 
 
+class ExpiredRequestError(MalformedRequestError):
+    """A request is well-formed, but was sent too long ago; the network may have held it."""
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRules:
     """Rules that each request is checked against.
--- a/burlloom/rpc/wire.py
+++ b/burlloom/rpc/wire.py
@@ -36,7 +36,13 @@
 
 from ..time_units import NS_PER_MS, NS_PER_SECOND
 from . import frames
-from .incoming_request import IncomingRequest, MalformedRequestError, RequestRules, Responder
+from .incoming_request import (
+    ExpiredRequestError,
+    IncomingRequest,
+    MalformedRequestError,
+    RequestRules,
+    Responder,
+)
 
 HEALTH_METHOD = "health"
 SHUTDOWN_NOTIFICATION = frames.encode_notification("shutdown")
@@ -143,6 +149,7 @@
         now_ns: The current time, Unix ns.
 
     Raises:
+        ExpiredRequestError: The request is well-formed, but was sent too long ago.
         MalformedRequestError: A part of the request is missing or invalid.
     """
     if request_class not in rules.keyed_by_class:
@@ -156,19 +163,15 @@
             "field tenant names no known tenant", f"{tenant!r:.{MAX_QUOTED_CHARACTERS}}"
         )
     sent_at_ns = int(parse_text(fields, "at", MILLISECONDS_PATTERN, True)) * NS_PER_MS
-    if (
-        not now_ns - MAX_AGE_IN_DEADLINES * rules.max_deadline_ns
-        <= sent_at_ns
-        <= now_ns + MAX_CLOCK_LEAD_NS
-    ):
-        raise MalformedRequestError("field at is too far in the past or in the future")
+    if sent_at_ns > now_ns + MAX_CLOCK_LEAD_NS:
+        raise MalformedRequestError("field at is too far in the future")
     memory_kb = parse_number(fields, "kb", 0, MAX_MEMORY_KB)
     priority = parse_number(fields, "rank", 0, 1)
     if memory_kb == 0 or memory_kb == MAX_MEMORY_KB or priority == 1:
         raise MalformedRequestError(
             f"field kb is not between 0 and {MAX_MEMORY_KB}, or field rank is 1"
         )
-    return IncomingRequest(
+    request = IncomingRequest(
         responder,
         message_id,
         request_class,
@@ -184,6 +187,9 @@
         fields.get("retry") == "1",
         str(fields.get("tenant", "")),
     )
+    if sent_at_ns < now_ns - MAX_AGE_IN_DEADLINES * rules.max_deadline_ns:
+        raise ExpiredRequestError("field at is too far in the past")
+    return request
 
 
 def load_report_fields(load_report: str) -> dict[str, str]:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -790,3 +790,38 @@
         assert harness.requests == harness.lost == []
 
     on_loop(scenario)()
+
+
+@on_loop
+async def test_expired_requests_of_a_silence_close_nothing_over_live_ones() -> None:
+    """Guards against review/3: four old requests closed a connection over the live ones behind."""
+    harness = ListenerHarness()
+    client = await harness.client()
+    old = harness.now - 3 * RULES.max_deadline_ns
+    for silence in range(2):
+        first = 1 + 33 * silence
+        expired = [look_request(number, old) for number in range(first, first + 32)]
+        client.sock.sendall(b"".join(expired) + look_request(first + 32, harness.now))
+        await wait_until(lambda silence=silence: len(harness.requests) == silence + 1)
+        harness.requests[-1].complete(b"served")
+        await run_loop_turns()
+    client.sock.shutdown(socket.SHUT_WR)
+    answers = await client.read_to_end()
+    assert [number for _, number, error, _ in answers if error is None] == [33, 66]
+    assert sum(error is not None and error[0] == "BadRequest" for _, _, error, _ in answers) == 64
+
+
+@on_loop
+async def test_a_flood_of_expired_or_malformed_requests_is_cut_off() -> None:
+    harness = ListenerHarness()
+    old = harness.now - 3 * RULES.max_deadline_ns
+    malformed = fields(at=str(old // NS_PER_MS), kb="none")
+    for data, answered in [
+        (b"".join(look_request(number, old) for number in range(1, 100)), 32),
+        (b"".join(request(number, "look", malformed, b"") for number in range(1, 100)), 4),
+    ]:
+        client = await harness.client()
+        client.sock.sendall(data)
+        assert len(await client.read_to_end()) == answered
+        assert client.connection.detail
+    assert not harness.requests
