The metrics listener waits for the tasks of its connections before its loop closes

Cause: by reading; an aborted connection's task ends some turns of the loop later, and a pending one would be logged as an error. Change: close waits for these tasks, half a second at most. A test holds five open connections over a close. Result: the test passes; it passed on the text before too, so that the fault is suspected and not shown.

--- a/burlloom/metrics/http_endpoint.py
+++ b/burlloom/metrics/http_endpoint.py
@@ -13,6 +13,7 @@
 MAX_HEAD_BYTES = 8 << 10  # of a request
 MAX_CONNECTIONS = 16  # a further one closes the oldest
 EXCHANGE_TIMEOUT_S = 5.0  # from the accept to the last byte of the response
+CLOSE_TIMEOUT_S = 0.5  # for the tasks of aborted connections
 MIN_ENCODE_INTERVAL_S = 0.1  # requests in between get the same text
 
 HEAD_END = b"\r\n\r\n"
@@ -65,7 +66,9 @@
         server.close()
         for writer in list(self.connections):
             writer.transport.abort()
-        await asyncio.sleep(0)  # the tasks of these connections end
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_TIMEOUT_S)
 
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serves one connection."""
--- a/tests/test_metrics_endpoint.py
+++ b/tests/test_metrics_endpoint.py
@@ -1,7 +1,9 @@
 """Tests of the HTTP listener for metrics: its answers, and what its clients can't take."""
 
+import gc
 import socket
 import threading
+import time
 import urllib.request
 from collections.abc import Iterator
 
@@ -94,6 +96,22 @@
         sock.close()
 
 
+def test_a_close_leaves_no_task_behind(caplog: pytest.LogCaptureFixture) -> None:
+    endpoint = MetricsEndpoint(CollectorRegistry(), ("127.0.0.1", 0))
+    socks = [connect(endpoint) for _ in range(5)]
+    for sock in socks:
+        sock.sendall(b"GET /metrics")
+    while len(endpoint.connections) < len(socks):
+        time.sleep(0.001)
+    endpoint.close()
+    gc.collect()
+    assert not endpoint.thread.is_alive()
+    assert not caplog.records
+    for sock in socks:
+        assert read_to_end(sock) == b""
+        sock.close()
+
+
 def test_the_address_must_be_free(endpoint: MetricsEndpoint) -> None:
     with pytest.raises(OSError, match="in use"):
         MetricsEndpoint(endpoint.registry, ("127.0.0.1", endpoint.port))
