One answer to malformed and expired requests, one test of a joined link

Cause: reading the change again. Connection built the same error answer in two methods; ExecutorConnection.send_command asked twice whether its connection is joined; SocketWriter had a function for what its callers write as a lambda. Two reasons had left the code with the lines that held them. Change: Connection.answer_malformed, one local in send_command, a lambda in ignore_errors; comments say again why a confirmed command is not repeated, and why age is checked last. Behaviour as before, no test changed.

--- a/burlloom/executor/connection.py
+++ b/burlloom/executor/connection.py
@@ -53,7 +53,7 @@
 
     The result of a call is written at most once: sent again, it could reach a run that has gone on
     to its next call. So is the start of a run that must not run twice: sent again, it could arrive
-    after the run's end. A confirmed command is never sent again either.
+    after the run's end. A confirmed command is never sent again either, as its run may have ended.
 
     Attributes:
         last_notice: The number of the last handled notice; on a new connection the executor sends
@@ -135,10 +135,11 @@
         self, name: Command, request_id: str, command: bytes, is_repeatable: bool
     ) -> None:
         """Sends a command, at once or when the connection is joined."""
-        key, is_written = CommandKey(name, request_id), self.is_joined and self.writer is not None
-        self.unconfirmed.add(key, command, is_repeatable, is_written)
-        if self.is_joined and self.writer is not None:
-            self.writer.send(command)
+        key = CommandKey(name, request_id)
+        writer = self.writer if self.is_joined else None
+        self.unconfirmed.add(key, command, is_repeatable, is_written=writer is not None)
+        if writer is not None:
+            writer.send(command)
             if self.confirm_timer is None:
                 # More often than the regular polls: a command that is unconfirmed when the
                 # connection is lost may cost its request, so that few should be.
--- a/burlloom/rpc/connection.py
+++ b/burlloom/rpc/connection.py
@@ -307,15 +307,18 @@
         if self.expired_count > MAX_EXPIRED_REQUESTS:
             self.close_with_detail(CloseReason.TOO_MANY_BAD_REQUESTS, fault)
             return
-        fields = self.owner.response_fields(self.caller)
-        self.writer.send(wire.encode_malformed(message_id, fields))
+        self.answer_malformed(message_id)
         self.detail = fault
 
     def reject_malformed(self, message_id: int, fault: str) -> None:
         """Answers a malformed request with an error, and counts it."""
+        self.answer_malformed(message_id)
+        self.report_fault(fault)
+
+    def answer_malformed(self, message_id: int) -> None:
+        """Answers a request that was never open with an error."""
         fields = self.owner.response_fields(self.caller)
         self.writer.send(wire.encode_malformed(message_id, fields))
-        self.report_fault(fault)
 
     def report_fault(self, fault: str) -> None:
         """Counts a fault of the caller, and closes the connection at `MAX_BAD_REQUESTS` of them.
--- a/burlloom/rpc/wire.py
+++ b/burlloom/rpc/wire.py
@@ -187,6 +187,7 @@
         fields.get("retry") == "1",
         str(fields.get("tenant", "")),
     )
+    # Last, as only a request that is well-formed otherwise is no fault of its caller.
     if sent_at_ns < now_ns - MAX_AGE_IN_DEADLINES * rules.max_deadline_ns:
         raise ExpiredRequestError("field at is too far in the past")
     return request
--- a/burlloom/sockets/socket_writer.py
+++ b/burlloom/sockets/socket_writer.py
@@ -7,10 +7,6 @@
 from .task_supervisor import TaskSupervisor
 
 
-def do_nothing() -> None:
-    """Handles an error that nobody has to be told of."""
-
-
 class SocketWriter:
     """Sends messages whole and in order, at the peer's pace, without blocking the sender.
 
@@ -94,7 +90,7 @@
 
         The memory of the owner would otherwise be held until the next garbage collection.
         """
-        self.on_error = do_nothing
+        self.on_error = lambda: None
 
     def abort(self) -> None:
         """Drops the queued bytes and stops sending."""
